--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -1,5 +1,6 @@
 #include "control_node.h"
 
+#include "clock.h"
 #include "digest.h"
 #include "log.h"
 #include "quorum_log.h"
@@ -40,6 +41,7 @@
     ControlState state;
     std::optional<std::uint64_t> leadingTerm;
     TimePoint leadsUntil;
+    std::vector<std::string> members; ///< link addresses
 };
 
 Milliseconds wallTime()
@@ -71,7 +73,7 @@
 
     bool start(Reason<int> &reason)
     {
-        const TimePoint began = std::chrono::steady_clock::now();
+        const TimePoint began = bootNow();
         Reason<QuorumLogError> logReason;
         auto memory = this->log.open(logReason);
         if (!memory) {
@@ -80,10 +82,12 @@
         }
         const std::size_t entries = memory->entries.size();
         this->machine.emplace(QuorumOptions{ .endpoint = this->options.endpoint,
-                                             .controls = this->options.controls },
+                                             .controls = this->options.controls,
+                                             .mayForm = this->options.mayForm,
+                                             .wantedVoters = this->options.wantedVoters },
                               std::move(*memory), this->log.isFresh(), randomSeed(), began);
         this->perform();
-        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint now = bootNow();
         logInfo("control log is read",
                 { { "entries", entries },
                   { "snapshot", this->machine->memory().snapshot.index },
@@ -123,7 +127,7 @@
 
     std::optional<std::uint64_t> leadingTerm()
     {
-        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint now = bootNow();
         return this->table.with([now](const ControlTable &control) {
             return now < control.leadsUntil ? control.leadingTerm : std::nullopt;
         });
@@ -141,6 +145,17 @@
                 [](const ControlTable &control) { return control.state.operators(); });
     }
 
+    OperatorState operatorState()
+    {
+        return this->table.with(
+                [](const ControlTable &control) { return control.state.operatorState(); });
+    }
+
+    std::vector<std::string> memberEndpoints()
+    {
+        return this->table.with([](const ControlTable &control) { return control.members; });
+    }
+
 private:
     struct Pending
     {
@@ -175,7 +190,7 @@
     /// with one sync for all of them.
     void turn(Inbox &events)
     {
-        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint now = bootNow();
         this->machine->tick(now);
         for (const QuorumMessage &message : events.messages)
             this->machine->receive(now, message);
@@ -217,7 +232,8 @@
         const bool isQuery = std::holds_alternative<ReadDocument>(command)
                              || std::holds_alternative<ReadOperators>(command)
                              || std::holds_alternative<ReadAudit>(command)
-                             || std::holds_alternative<ReadMembers>(command);
+                             || std::holds_alternative<ReadMembers>(command)
+                             || std::holds_alternative<ReadNumbered>(command);
         if (!isQuery)
             return false;
         const std::uint64_t id = ++this->lastQuery;
@@ -357,10 +373,14 @@
     /// Lets other threads see who leads; what waits for a lost leadership is answered.
     void publishLeadership()
     {
-        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint now = bootNow();
         const auto term = this->machine->leadingTerm(now);
         const TimePoint until = this->machine->leadsUntil();
+        std::vector<std::string> endpoints;
+        for (const QuorumMember &each : this->machine->members().members)
+            endpoints.push_back(each.endpoint);
         const auto before = this->table.with([&](ControlTable &control) {
+            control.members = std::move(endpoints);
             control.leadsUntil = until;
             return std::exchange(control.leadingTerm, term);
         });
@@ -443,4 +463,14 @@
     return this->impl->operators();
 }
 
+OperatorState ControlNode::operatorState()
+{
+    return this->impl->operatorState();
+}
+
+std::vector<std::string> ControlNode::memberEndpoints()
+{
+    return this->impl->memberEndpoints();
+}
+
 } // namespace egret
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -15,6 +15,8 @@
     std::string dataFolder;
     std::string endpoint;              ///< own link address
     std::vector<std::string> controls; ///< link addresses that form the quorum at first
+    bool mayForm{ true };              ///< false: an empty folder waits to be added
+    std::size_t wantedVoters{ 0 };     ///< voters up to which instances are added by themselves
 };
 
 /// What a control node asks of its process; called on the node's own thread.
@@ -65,6 +67,12 @@
     /// Operators of the applied state.
     StoredRevision operators();
 
+    /// Numbered texts and zones taken out, of the applied state.
+    OperatorState operatorState();
+
+    /// Link addresses of the quorum's members as this one knows them.
+    std::vector<std::string> memberEndpoints();
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl;
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -98,7 +98,8 @@
 
 ControlSnapshot ControlState::snapshot() const
 {
-    ControlSnapshot snapshot{ .time = this->time,
+    ControlSnapshot snapshot{ .operatorState = this->operatorWords,
+                              .time = this->time,
                               .operators = this->operatorsInForce,
                               .audit = { this->auditLog.begin(), this->auditLog.end() },
                               .claims = this->claims.snapshot() };
@@ -114,6 +115,7 @@
     *this = ControlState{};
     this->time = snapshot.time;
     this->operatorsInForce = snapshot.operators;
+    this->operatorWords = snapshot.operatorState;
     this->auditLog.assign(snapshot.audit.begin(), snapshot.audit.end());
     this->claims.restore(snapshot.claims);
     for (const EnvironmentState &environment : snapshot.environments)
@@ -197,6 +199,39 @@
     return this->claims.finish(command);
 }
 
+/// The highest number stands; the same or a lower one is accepted and changes
+/// nothing, so that resends and late arrivals are harmless.
+ControlResult ControlState::applyCommand(const LogPosition &position, const PutNumbered &command)
+{
+    auto &texts = this->operatorWords.texts;
+    auto standing = std::ranges::find(texts, command.text.name, &NumberedText::name);
+    if (standing == texts.end()) {
+        texts.push_back(command.text);
+        standing = std::prev(texts.end());
+        this->operatorWords.index = position.index;
+    } else if (command.text.number > standing->number) {
+        *standing = command.text;
+        this->operatorWords.index = position.index;
+    }
+    return ControlResult{ .accepted = true,
+                          .revision = standing->number,
+                          .fence = fenceAt(position) };
+}
+
+ControlResult ControlState::applyCommand(const LogPosition &position, const SetZoneOut &command)
+{
+    auto &zones = this->operatorWords.zonesOut;
+    const auto found = std::ranges::find(zones, command.zone);
+    const bool isOut = found != zones.end();
+    if (command.isOut && !isOut)
+        zones.push_back(command.zone);
+    else if (!command.isOut && isOut)
+        zones.erase(found);
+    if (command.isOut != isOut)
+        this->operatorWords.index = position.index;
+    return ControlResult{ .accepted = true, .fence = fenceAt(position) };
+}
+
 /// A query in the log changes nothing.
 template <class Query>
 ControlResult ControlState::applyCommand(const LogPosition &, const Query &command)
@@ -257,6 +292,15 @@
     return result;
 }
 
+ControlResult ControlState::answer(const ReadNumbered &query) const
+{
+    const auto &texts = this->operatorWords.texts;
+    const auto found = std::ranges::find(texts, query.name, &NumberedText::name);
+    if (found == texts.end())
+        return refusal("none");
+    return ControlResult{ .accepted = true, .revision = found->number, .text = found->text };
+}
+
 ControlResult ControlState::answer(const ReadAudit &query) const
 {
     nlohmann::json records = nlohmann::json::array();
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -28,7 +28,8 @@
 inline constexpr std::size_t kAuditRecordsKept = 16384;
 
 /// The state that the control quorum replicates: documents by environment and
-/// stage, operators, the audit log and claims on idempotency keys.
+/// stage, numbered texts, zones taken out, operators, the audit log and claims
+/// on idempotency keys.
 /// Deterministic: the same commands at the same positions give the same state
 /// and results. Not thread safe.
 class ControlState
@@ -50,6 +51,9 @@
     /// Operators in force; revision 0 before the first.
     const StoredRevision &operators() const { return this->operatorsInForce; }
 
+    /// Numbered texts and zones taken out.
+    const OperatorState &operatorState() const { return this->operatorWords; }
+
     /// The whole state, for a snapshot.
     ControlSnapshot snapshot() const;
 
@@ -63,6 +67,8 @@
     ControlResult applyCommand(const LogPosition &position, const NoteAudit &command);
     ControlResult applyCommand(const LogPosition &position, const OpenClaim &command);
     ControlResult applyCommand(const LogPosition &position, const FinishClaim &command);
+    ControlResult applyCommand(const LogPosition &position, const PutNumbered &command);
+    ControlResult applyCommand(const LogPosition &position, const SetZoneOut &command);
     template <class Query>
     ControlResult applyCommand(const LogPosition &position, const Query &command);
 
@@ -77,9 +83,11 @@
     ControlResult answer(const ReadDocument &query) const { return this->read(query); }
     ControlResult answer(const ReadOperators &query) const;
     ControlResult answer(const ReadAudit &query) const;
+    ControlResult answer(const ReadNumbered &query) const;
 
     std::map<std::string, EnvironmentState> environmentsByName;
     StoredRevision operatorsInForce;
+    OperatorState operatorWords;
     ClaimTable claims;
     std::map<std::string, RequestResult> resultsByRequest;
     std::deque<std::string> requestOrder;
--- a/src/digest.cpp
+++ b/src/digest.cpp
@@ -23,6 +23,14 @@
     return toHex(digest);
 }
 
+std::string sha256Of(std::string_view bytes)
+{
+    std::string digest(crypto_hash_sha256_BYTES, '\0');
+    crypto_hash_sha256(reinterpret_cast<unsigned char *>(digest.data()), asBytes(bytes),
+                       bytes.size());
+    return toHex(digest);
+}
+
 std::string macOf(std::string_view key, std::string_view bytes)
 {
     std::string mac(kDigestBytes, '\0');
--- a/src/digest.h
+++ b/src/digest.h
@@ -12,6 +12,10 @@
 /// BLAKE2b-256 of `bytes` as 64 hexadecimal digits. Thread safe.
 std::string digestOf(std::string_view bytes);
 
+/// SHA-256 of `bytes` as 64 hexadecimal digits, for weights whose manifest gives
+/// such digests. Thread safe.
+std::string sha256Of(std::string_view bytes);
+
 /// Keyed BLAKE2b-256 of `bytes`, raw. `key` holds 32 bytes. Thread safe.
 std::string macOf(std::string_view key, std::string_view bytes);
 
--- /dev/null
+++ b/src/http_reader.cpp
@@ -0,0 +1,234 @@
+#include "http_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace egret {
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+    "te",         "trailer",    "transfer-encoding",  "upgrade"
+};
+
+char lower(char c)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+} // namespace
+
+const char *httpFaultName(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::none:
+        return "none";
+    case HttpFault::malformed:
+        return "malformed";
+    case HttpFault::headTooLarge:
+        return "head-too-large";
+    case HttpFault::bodyTooLarge:
+        return "body-too-large";
+    case HttpFault::truncated:
+        return "truncated";
+    }
+    return "unknown";
+}
+
+bool sameHeader(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, {}, lower, lower);
+}
+
+std::string headerValue(const HttpHeaders &headers, const std::string &name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameHeader(key, name))
+            return value;
+    }
+    return {};
+}
+
+bool isConnectionHeader(const std::string &name, const std::string &connection)
+{
+    const auto isName = [&name](std::string_view other) { return sameHeader(name, other); };
+    if (std::ranges::any_of(kConnectionHeaders, isName))
+        return true;
+    std::string_view rest = connection;
+    while (!rest.empty()) {
+        const auto comma = std::min(rest.find(','), rest.size());
+        std::string_view token = rest.substr(0, comma);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (isName(token))
+            return true;
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    return false;
+}
+
+HttpReader::HttpReader(HttpReaderOptions options) : options(options)
+{
+    this->reset();
+}
+
+void HttpReader::reset()
+{
+    http_parser_init(&this->parser,
+                     this->options.side == HttpSide::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+    this->current = {};
+    this->body.clear();
+    this->headBytes = this->bodyBytes = 0;
+    this->valueSeen = this->isHeadDone = this->isWhole = this->isInterim = false;
+    this->noBody = false;
+    this->problem = HttpFault::none;
+}
+
+void HttpReader::setBounds(std::size_t maxHeadBytes, std::size_t maxBodyBytes)
+{
+    this->options.maxHeadBytes = maxHeadBytes;
+    this->options.maxBodyBytes = maxBodyBytes;
+}
+
+std::size_t HttpReader::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !this->isWhole && this->problem == HttpFault::none) {
+        const std::string_view rest = bytes.substr(used);
+        const std::size_t taken = http_parser_execute(&this->parser, &HttpReader::settings(),
+                                                      rest.data(), rest.size());
+        used += taken;
+        if (!this->isHeadDone)
+            this->headBytes += taken;
+        const auto error = HTTP_PARSER_ERRNO(&this->parser);
+        if (this->isInterim) {
+            const bool noBodyLater = this->noBody;
+            this->reset();
+            this->noBody = noBodyLater;
+        } else if (error != HPE_OK && error != HPE_PAUSED && this->problem == HttpFault::none) {
+            this->problem = HttpFault::malformed;
+        } else if (!this->isHeadDone && this->headBytes > this->options.maxHeadBytes) {
+            this->problem = HttpFault::headTooLarge;
+        }
+        if (taken == 0 && error == HPE_OK)
+            break;
+    }
+    return used;
+}
+
+void HttpReader::finish()
+{
+    if (this->isWhole || this->problem != HttpFault::none)
+        return;
+    if (this->isHeadDone)
+        http_parser_execute(&this->parser, &HttpReader::settings(), nullptr, 0);
+    if (!this->isWhole)
+        this->problem = HttpFault::truncated;
+}
+
+HttpReader &HttpReader::self(http_parser *parser)
+{
+    return *static_cast<HttpReader *>(parser->data);
+}
+
+const http_parser_settings &HttpReader::settings()
+{
+    static const http_parser_settings callbacks = [] {
+        http_parser_settings made{};
+        http_parser_settings_init(&made);
+        made.on_url = &HttpReader::onUrl;
+        made.on_header_field = &HttpReader::onField;
+        made.on_header_value = &HttpReader::onValue;
+        made.on_headers_complete = &HttpReader::onHead;
+        made.on_body = &HttpReader::onBody;
+        made.on_message_complete = &HttpReader::onWhole;
+        return made;
+    }();
+    return callbacks;
+}
+
+int HttpReader::onUrl(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser).current.target.append(data, size);
+    return 0;
+}
+
+int HttpReader::onField(http_parser *parser, const char *data, std::size_t size)
+{
+    HttpReader &reader = self(parser);
+    if (reader.isHeadDone) // a trailer
+        return 0;
+    if (reader.valueSeen || reader.current.headers.empty())
+        reader.current.headers.emplace_back();
+    reader.valueSeen = false;
+    reader.current.headers.back().first.append(data, size);
+    return 0;
+}
+
+int HttpReader::onValue(http_parser *parser, const char *data, std::size_t size)
+{
+    HttpReader &reader = self(parser);
+    if (reader.isHeadDone)
+        return 0;
+    reader.valueSeen = true;
+    reader.current.headers.back().second.append(data, size);
+    return 0;
+}
+
+int HttpReader::onHead(http_parser *parser)
+{
+    return self(parser).noteHead();
+}
+
+int HttpReader::noteHead()
+{
+    if (this->options.side == HttpSide::request) {
+        this->current.method = http_method_str(static_cast<http_method>(this->parser.method));
+        const bool isSized = (this->parser.flags & F_CONTENTLENGTH) != 0;
+        const bool isChunked = (this->parser.flags & F_CHUNKED) != 0;
+        this->current.hasBody = isChunked || (isSized && this->parser.content_length > 0);
+        if (isSized && this->parser.content_length > this->options.maxBodyBytes)
+            this->problem = HttpFault::bodyTooLarge;
+    } else {
+        this->current.status = this->parser.status_code;
+        this->isInterim = this->current.status < kFirstFinalStatus
+                          && this->current.status != kSwitchingProtocols;
+    }
+    this->current.keepsAlive = http_should_keep_alive(&this->parser) != 0;
+    if (this->isInterim)
+        return 0;
+    this->isHeadDone = true;
+    if (this->problem != HttpFault::none)
+        return -1;
+    return this->noBody ? 1 : 0;
+}
+
+int HttpReader::onBody(http_parser *parser, const char *data, std::size_t size)
+{
+    HttpReader &reader = self(parser);
+    reader.bodyBytes += size;
+    if (reader.bodyBytes > reader.options.maxBodyBytes) {
+        reader.problem = HttpFault::bodyTooLarge;
+        return -1;
+    }
+    reader.body.append(data, size);
+    return 0;
+}
+
+int HttpReader::onWhole(http_parser *parser)
+{
+    HttpReader &reader = self(parser);
+    reader.isWhole = !reader.isInterim;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace egret
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -18,13 +18,6 @@
 constexpr std::size_t kMaxHeaderValueBytes = 16384;
 constexpr std::size_t kMaxHeaders = 64;
 
-bool equalNoCase(const std::string &left, const std::string &right)
-{
-    return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
-        return std::tolower(a) == std::tolower(b);
-    });
-}
-
 /// What the replies of one server share.
 struct ReplyShared
 {
@@ -236,15 +229,6 @@
 
 } // namespace
 
-std::string headerValue(const HttpHeaders &headers, const std::string &name)
-{
-    for (const auto &[key, value] : headers) {
-        if (equalNoCase(key, name))
-            return value;
-    }
-    return {};
-}
-
 class HttpServer::Impl
 {
 public:
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -466,6 +466,18 @@
             link->close("shutdown");
     }
 
+    std::vector<LinkPtr> peers(Role role)
+    {
+        const std::lock_guard lock(this->mutex);
+        std::vector<LinkPtr> found;
+        for (const LinkPtr &link : this->accepted) {
+            const Hello hello = link->peer();
+            if (!hello.instance.empty() && hello.role == role)
+                found.push_back(link);
+        }
+        return found;
+    }
+
     std::shared_ptr<LinkShared> sharedState() { return this->shared; }
 
 private:
@@ -532,6 +544,11 @@
     return endpoint && this->impl->open(*endpoint, channel)->send(message);
 }
 
+std::vector<LinkPtr> LinkHub::peers(Role role) const
+{
+    return this->impl->peers(role);
+}
+
 std::map<std::string, std::uint64_t> LinkHub::droppedFrames() const
 {
     const auto shared = this->impl->sharedState();
--- a/src/link.h
+++ b/src/link.h
@@ -83,6 +83,9 @@
     /// Sends on the link to `to`; false when the endpoint is malformed or the queue is full.
     bool send(const std::string &to, Channel channel, const Message &message);
 
+    /// Accepted links whose peers have said that they have a role.
+    std::vector<LinkPtr> peers(Role role) const;
+
     /// Number of frames dropped, by reason.
     std::map<std::string, std::uint64_t> droppedFrames() const;
 
--- a/src/log.h
+++ b/src/log.h
@@ -16,8 +16,9 @@
     std::string level{ "INFO" };
 };
 
-/// Starts logging to standard error, one JSON object a line. Call once, before
-/// any thread is started.
+/// Starts logging to standard output, one JSON object a line. It never blocks:
+/// lines past a bound are dropped and counted. Call once, before any thread is
+/// started.
 void startLogging(const LogIdentity &identity);
 
 /// Logs an event with its fields. `event` is a short sentence in lower case.
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -89,6 +89,26 @@
     return sigtimedwait(&set, nullptr, &wait) > 0;
 }
 
+void blockServiceSignals()
+{
+    sigset_t set = stopSignals();
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+ServiceSignal waitForSignal(Milliseconds limit)
+{
+    sigset_t set = stopSignals();
+    sigaddset(&set, SIGHUP);
+    const timespec wait{ .tv_sec = limit.count() / 1000,
+                         .tv_nsec = (limit.count() % 1000) * 1000000 };
+    const int received = sigtimedwait(&set, nullptr, &wait);
+    if (received < 0)
+        return ServiceSignal::none;
+    return received == SIGHUP ? ServiceSignal::reload : ServiceSignal::stop;
+}
+
 std::uint64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/program.h
+++ b/src/program.h
@@ -65,6 +65,16 @@
 /// True when another stop signal comes within `limit`.
 bool waitForSecondSignal(Milliseconds limit);
 
+/// What a service is asked by signals.
+enum class ServiceSignal : std::uint8_t { none, stop, reload };
+
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and all it starts later.
+void blockServiceSignals();
+
+/// The signal that comes within `limit`. Call from the main thread after
+/// `blockServiceSignals`.
+ServiceSignal waitForSignal(Milliseconds limit);
+
 /// A number that grows with each start of a process on this machine; names an
 /// incarnation.
 std::uint64_t newIncarnation();
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -242,7 +242,8 @@
 /// that it belongs to none; any that does keeps a second group from forming.
 void Quorum::formGroup(TimePoint now)
 {
-    if (this->options.controls.empty() || this->options.controls.front() != this->options.endpoint)
+    if (!this->options.mayForm || this->options.controls.empty()
+        || this->options.controls.front() != this->options.endpoint)
         return;
     QuorumMembers members;
     members.members.push_back(
@@ -337,6 +338,27 @@
             }
         }
     }
+    this->addGreeters(now);
+}
+
+/// Adds one instance that greets with a folder of no member: in place of a
+/// member of its address whose folder is lost, or while voters are wanted.
+void Quorum::addGreeters(TimePoint now)
+{
+    if (this->options.wantedVoters == 0)
+        return;
+    const auto &known = this->members().members;
+    for (const auto &[endpoint, greeting] : this->greetings) {
+        const bool isFresh = now <= greeting.at + kGreetingValid;
+        if (!isFresh || greeting.cluster != 0 || this->member(greeting.folder) != nullptr)
+            continue;
+        const bool isReplacement = std::ranges::any_of(
+                known, [&](const QuorumMember &each) { return each.endpoint == endpoint; });
+        if (!isReplacement && known.size() >= this->options.wantedVoters)
+            continue;
+        if (this->addMember(now, endpoint))
+            return;
+    }
 }
 
 bool Quorum::mayChangeMembers() const
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -22,6 +22,8 @@
     std::uint32_t group{ 0 };
     std::string endpoint;              ///< own link address
     std::vector<std::string> controls; ///< addresses that form the group; the first one forms it
+    bool mayForm{ true };          ///< false: an empty folder only waits to be added
+    std::size_t wantedVoters{ 0 }; ///< the leader adds instances that greet up to this number
     Milliseconds heartbeat{ 100 };
     Milliseconds electionLeast{ 800 };  ///< no vote is given for so long after hearing a leader
     Milliseconds electionSpread{ 800 }; ///< random time added to the above before a campaign
@@ -196,6 +198,7 @@
     void formGroup(TimePoint now);
     void adoptGroup(std::uint64_t cluster, const QuorumMembers &members);
     void manageMembers(TimePoint now);
+    void addGreeters(TimePoint now);
     bool changeMembers(TimePoint now, const QuorumMembers &members);
     bool mayChangeMembers() const;
     const QuorumMember *member(std::uint64_t folder) const;
--- /dev/null
+++ b/src/serving_plan.cpp
@@ -0,0 +1,105 @@
+#include "serving_plan.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace egret {
+
+namespace {
+
+std::string hostKey(std::string host)
+{
+    host = host.substr(0, host.find(':'));
+    std::ranges::transform(host, host.begin(), [](unsigned char c) { return std::tolower(c); });
+    return host;
+}
+
+bool isPrefix(const std::string &prefix)
+{
+    return !prefix.empty() && prefix.front() == '/' && prefix.back() == '/';
+}
+
+std::string routeFault(const PlanRoute &route, const std::set<std::string> &services)
+{
+    const std::string name = "route " + route.name + ": ";
+    if (!isPrefix(route.prefix))
+        return name + "the prefix does not begin and end with a slash";
+    if (route.timeout <= 0ms)
+        return name + "the timeout is zero";
+    std::uint64_t weights = 0;
+    for (const PlanTarget &target : route.targets) {
+        if (!services.contains(target.service))
+            return name + "unknown service " + target.service;
+        weights += target.weight;
+    }
+    return weights == 0 ? name + "the weights add up to zero" : std::string();
+}
+
+} // namespace
+
+std::string planFault(const ServingPlan &plan)
+{
+    if (plan.number == 0)
+        return "the number is zero";
+    std::set<std::string> services;
+    for (const PlanService &service : plan.services)
+        services.insert(service.name);
+    std::set<std::pair<std::string, std::string>> places;
+    for (const PlanRoute &route : plan.routes) {
+        const std::string fault = routeFault(route, services);
+        if (!fault.empty())
+            return fault;
+        if (!places.emplace(hostKey(route.host), route.prefix).second)
+            return "route " + route.name + ": another has the same host and prefix";
+    }
+    std::map<std::string, std::string> keys;
+    for (const PlanCustomer &customer : plan.customers) {
+        for (const std::string &key : customer.keys) {
+            const auto [other, isNew] = keys.emplace(key, customer.name);
+            if (!isNew && other->second != customer.name)
+                return "customers " + other->second + " and " + customer.name + " share a key";
+        }
+    }
+    return {};
+}
+
+PlanIndex::PlanIndex(ServingPlan plan) : document(std::move(plan))
+{
+    for (const PlanRoute &route : this->document.routes)
+        this->routesByHost[hostKey(route.host)].push_back(&route);
+    for (auto &[host, routes] : this->routesByHost)
+        std::ranges::stable_sort(routes, std::greater{},
+                                 [](const PlanRoute *route) { return route->prefix.size(); });
+    for (const PlanCustomer &customer : this->document.customers) {
+        for (const std::string &key : customer.keys)
+            this->customersByKey.emplace(key, &customer);
+    }
+    for (const PlanService &service : this->document.services)
+        this->servicesByName.emplace(service.name, &service);
+}
+
+const PlanRoute *PlanIndex::route(const std::string &host, const std::string &path) const
+{
+    const auto found = this->routesByHost.find(hostKey(host));
+    if (found == this->routesByHost.end())
+        return nullptr;
+    const auto best = std::ranges::find_if(found->second, [&path](const PlanRoute *route) {
+        return path.starts_with(route->prefix);
+    });
+    return best == found->second.end() ? nullptr : *best;
+}
+
+const PlanCustomer *PlanIndex::customer(const std::string &key) const
+{
+    const auto found = this->customersByKey.find(key);
+    return found == this->customersByKey.end() ? nullptr : found->second;
+}
+
+const PlanService *PlanIndex::service(const std::string &name) const
+{
+    const auto found = this->servicesByName.find(name);
+    return found == this->servicesByName.end() ? nullptr : found->second;
+}
+
+} // namespace egret
--- /dev/null
+++ b/src/stager.cpp
@@ -0,0 +1,814 @@
+#include "stager.h"
+
+#include "clock.h"
+#include "digest.h"
+#include "http_pool.h"
+#include "log.h"
+#include "node_options.h"
+#include "program.h"
+#include "registry_node.h"
+#include "swarm.h"
+#include "view_reader.h"
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <set>
+
+namespace egret {
+
+namespace {
+
+/// The engine's report is fresh; gateways place by it.
+constexpr Milliseconds kReportPeriod = 100ms;
+constexpr Milliseconds kReportTimeout = 500ms;
+/// An unchanged notice is repeated so that gateways know it is still true.
+constexpr Milliseconds kNoticeRepeat = 500ms;
+constexpr Milliseconds kStagingTick = 20ms;
+constexpr Milliseconds kPeersPeriod = 200ms;
+constexpr Milliseconds kLocalTimeout = 1s;
+constexpr Milliseconds kOriginTimeout = 3s;
+constexpr Milliseconds kCallSweep = 50ms;
+/// Pieces read back from the engine at once.
+constexpr std::size_t kReadsAtOnce = 4;
+/// The origin's link is as thin as a stager's: one piece on the way and one waiting.
+constexpr std::size_t kOriginPieces = 2;
+constexpr std::uint64_t kFirstVersion = 1;
+/// Peers say what they hold before the origin is asked: for a version named just
+/// now there is nothing to hear.
+constexpr Milliseconds kAnswerTimeNew = 20ms;
+constexpr Milliseconds kAnswerTimeOld = 900ms;
+constexpr std::uint32_t kConnectionsToEngine = 8;
+
+/// The piece of one call.
+struct LocalCall
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// How a call to the engine or the origin ended.
+struct CallResult
+{
+    bool isWhole{ false };
+    int status{ 0 };
+    std::string body;
+
+    bool isGood() const { return this->isWhole && this->status >= 200 && this->status < 300; }
+};
+
+/// A piece as the engine gave it back.
+struct PieceRead
+{
+    bool isAnswered{ false };
+    std::string bytes; ///< empty where it is missing or damaged
+};
+
+/// Which pieces the engine gave back as they should be.
+struct ReadBack
+{
+    bool isAnswered{ true }; ///< the engine answered for every piece
+    ChunkSet whole;
+};
+
+using CallDone = std::function<void(const CallResult &)>;
+
+} // namespace
+
+class Stager::Impl : public std::enable_shared_from_this<Stager::Impl>
+{
+public:
+    Impl(const NodeSettings &settings, StagerDialect dialect)
+        : settings(settings), dialect(std::move(dialect)), incarnation(newIncarnation()), pool(1),
+          hub(this->pool, nodeHubOptions(settings, Role::agent, this->incarnation),
+              { .onFrame = [this](const LinkPtr &link,
+                                  Frame &&frame) { this->onFrame(link, std::move(frame)); },
+                .onDown = [this](const LinkPtr &link) { this->onDown(link); } }),
+          reader(settings, false, this->hub,
+                 { .stateChanged = [this] { this->onState(); },
+                   .upstreamChanged = [](const UpstreamRecord &) {} }),
+          calls(this->pool.context()),
+          staging({ .bound = settings.bounds.version })
+    {}
+
+    bool start(std::string &problem)
+    {
+        const auto endpoint = Endpoint::parse(this->settings.engineAddress);
+        if (!endpoint) {
+            problem = "no engine address";
+            return false;
+        }
+        this->engine = *endpoint;
+        Reason<std::error_code> reason;
+        if (!this->hub.listen(reason)) {
+            problem = ownLinkEndpoint(this->settings) + ": " + reason.code.message();
+            return false;
+        }
+        this->pool.every(kViewTick, [this] { this->reader.tick(); });
+        this->pool.every(kReportPeriod, [this] { this->readReport(); });
+        this->pool.every(kStagingTick, [this] { this->tick(); });
+        this->pool.every(kPeersPeriod, [this] { this->refreshPeers(); });
+        this->pool.every(kCallSweep, [this] { this->endLateCalls(); });
+        return true;
+    }
+
+    void stop()
+    {
+        this->hub.shutdown();
+        this->pool.stop();
+    }
+
+    void addSeeds(const std::vector<std::string> &seeds)
+    {
+        std::vector<std::string> endpoints;
+        for (const std::string &seed : seeds)
+            endpoints.push_back(linkEndpointOf(this->settings, seed));
+        this->reader.addRegistries(endpoints);
+    }
+
+    std::string metricsText() const
+    {
+        std::string text;
+        const auto line = [&text](const char *name, std::uint64_t value) {
+            text += std::string("egret_") + name + " " + std::to_string(value) + "\n";
+        };
+        line("weights_target", this->staging.target());
+        line("weights_loaded", this->report ? this->report->version : 0);
+        line("pieces_held", this->swarm ? this->swarm->count() : 0);
+        line("origin_bytes_total", this->originBytes);
+        line("peer_bytes_total", this->peerBytes);
+        line("served_bytes_total", this->servedBytes);
+        line("pieces_damaged_total", this->damaged);
+        line("load_orders_total", this->orders);
+        return text;
+    }
+
+    asio::io_context &context() { return this->pool.context(); }
+
+private:
+    void onFrame(const LinkPtr &link, Frame &&frame)
+    {
+        const TimePoint now = bootNow();
+        if (const auto *view = std::get_if<View>(&frame.message))
+            this->reader.onView(link, *view);
+        else if (const auto *request = std::get_if<BlockRequest>(&frame.message))
+            this->answerPiece(link, *request);
+        else if (const auto *reply = std::get_if<BlockReply>(&frame.message))
+            this->onPiece(link->target(), *reply);
+        else if (const auto *holdings = std::get_if<Holdings>(&frame.message))
+            this->onHoldings(*holdings);
+        else if (const auto *have = std::get_if<Have>(&frame.message)) {
+            if (this->isCurrent(have->version))
+                this->swarm->onHave(have->endpoint, have->chunks, now);
+        } else if (const auto *progress = std::get_if<SwarmProgress>(&frame.message)) {
+            if (this->isCurrent(progress->version))
+                this->swarm->onProgress(progress->endpoint, progress->held, now);
+        }
+    }
+
+    void onDown(const LinkPtr &link)
+    {
+        this->reader.onDown(link);
+        this->gateways.erase(link);
+    }
+
+    // What operators want.
+
+    void onState()
+    {
+        const OperatorState &state = this->reader.view().state();
+        for (const NumberedText &text : state.texts) {
+            if (text.name == kDocumentText)
+                this->takeDocument(text);
+        }
+        this->takeTarget();
+    }
+
+    void takeDocument(const NumberedText &text)
+    {
+        if (text.number <= this->documentNumber)
+            return;
+        std::string problem;
+        const auto plan = this->dialect.parsePlan(text.text, problem);
+        if (!plan)
+            return logError("document in force can't be read", { { "problem", problem } });
+        this->documentNumber = text.number;
+        for (const PlanService &service : plan->services) {
+            if (service.origin)
+                this->origin = service.origin;
+            if (service.name == this->settings.engineService && service.engine)
+                this->spec = service.engine;
+        }
+    }
+
+    void takeTarget()
+    {
+        if (!this->spec)
+            return;
+        const std::uint64_t named =
+                this->reader.view().number(kWeightsTextPrefix + this->spec->model);
+        const std::uint64_t wanted = std::max(named, kFirstVersion);
+        if (wanted <= this->staging.target())
+            return;
+        // The first view after a start tells nothing of when a version was named.
+        const bool isNew = this->staging.target() > 0;
+        logInfo("weights version is wanted", { { "version", wanted }, { "new", isNew } });
+        this->staging.setTarget(wanted, isNew, bootNow());
+        this->swarm.reset();
+        this->digests.clear();
+        this->chunkReads.clear();
+    }
+
+    std::string versionName() const
+    {
+        return this->spec->model + "/" + std::to_string(this->staging.target());
+    }
+
+    bool isCurrent(const std::string &version) const
+    {
+        return this->swarm && version == this->versionName();
+    }
+
+    // The engine.
+
+    void readReport()
+    {
+        if (this->isReading)
+            return;
+        this->isReading = true;
+        this->callEngine({ .method = "GET", .target = this->dialect.reportTarget }, kReportTimeout,
+                         [this](const CallResult &result) {
+                             this->isReading = false;
+                             this->onReport(result);
+                         });
+    }
+
+    void onReport(const CallResult &result)
+    {
+        const std::uint32_t layers = this->spec ? this->spec->layers : 0;
+        auto next = result.isGood() ? this->dialect.parseReport(result.body, layers) : std::nullopt;
+        if (next.has_value() != this->report.has_value())
+            logInfo(next ? "engine answers" : "engine does not answer",
+                    { { "engine", this->settings.engineAddress }, { "status", result.status } });
+        const std::uint64_t before = this->report ? this->report->version : 0;
+        this->report = std::move(next);
+        if (!this->report) {
+            this->staging.onEngineLost();
+            return this->tellGateways();
+        }
+        if (this->report->version != before)
+            logInfo("engine's weights changed",
+                    { { "from", before }, { "to", this->report->version } });
+        this->staging.onEngine(
+                { .version = this->report->version, .isBusy = this->report->isBusy });
+        this->tellGateways();
+    }
+
+    /// Tells gateways how the engine stands, where that changed or is due again.
+    void tellGateways()
+    {
+        LoadNotice notice{ .endpoint = this->settings.engineAddress };
+        if (this->report) {
+            notice.born = this->report->born;
+            notice.isUsable = this->report->version > 0 && !this->report->isBusy
+                              && !this->isOrdering;
+            notice.model = this->report->model;
+            notice.version = this->report->version;
+            notice.queued = this->report->queued;
+            notice.active = this->report->active;
+            notice.memoryUsed = this->report->memoryUsed;
+            notice.memoryTotal = this->report->memoryTotal;
+            notice.pace = this->report->pace;
+        }
+        const TimePoint now = bootNow();
+        const bool isSame = notice.isUsable == this->told.isUsable
+                            && notice.version == this->told.version
+                            && notice.queued == this->told.queued
+                            && notice.active == this->told.active;
+        if (isSame && now < this->toldAt + kNoticeRepeat)
+            return;
+        this->told = notice;
+        this->toldAt = now;
+        for (const LinkPtr &link : this->gateways)
+            link->send(notice);
+    }
+
+    // Staging.
+
+    void tick()
+    {
+        if (!this->spec || !this->origin)
+            return;
+        const TimePoint now = bootNow();
+        switch (this->staging.next(now)) {
+        case StagingTask::none:
+            return this->runSwarm(now);
+        case StagingTask::fetchManifest:
+            return this->fetchManifest();
+        case StagingTask::checkHeld:
+            return this->checkHeld();
+        case StagingTask::collect:
+            this->runSwarm(now);
+            if (this->swarm->done()) {
+                logInfo("weights are staged", { { "version", this->staging.target() } });
+                this->staging.onCollected(now);
+            }
+            return;
+        case StagingTask::readBack:
+            return this->readBack();
+        case StagingTask::order:
+            return this->order();
+        }
+    }
+
+    void fetchManifest()
+    {
+        const std::uint64_t version = this->staging.target();
+        this->callOrigin(this->dialect.manifestTarget(this->spec->model, version),
+                         [this, version](const CallResult &result) {
+                             if (version != this->staging.target())
+                                 return;
+                             const auto manifest = result.isGood()
+                                                           ? this->dialect.parseManifest(result.body)
+                                                           : std::nullopt;
+                             const bool isTaken = manifest && manifest->version == version
+                                                  && manifest->digests.size() == this->spec->chunks;
+                             if (isTaken)
+                                 this->digests = manifest->digests;
+                             else
+                                 logWarn("manifest was not taken", { { "version", version },
+                                                                     { "status", result.status } });
+                             this->staging.onManifest(isTaken, bootNow());
+                         });
+    }
+
+    /// Finds out which pieces of the version lie at the engine already.
+    void checkHeld()
+    {
+        const std::uint64_t version = this->staging.target();
+        // What this process staged of an older version needs no look.
+        if (this->stagedVersion != 0 && this->stagedVersion < version)
+            return this->beginCollecting(ChunkSet(this->digests.size()));
+        this->callEngine({ .method = "GET", .target = this->dialect.listTarget(this->spec->model) },
+                         kLocalTimeout, [this, version](const CallResult &result) {
+                             if (version != this->staging.target())
+                                 return;
+                             auto held = result.isGood() ? this->dialect.parseHeld(result.body)
+                                                         : std::nullopt;
+                             if (!held && !(result.isWhole && result.status == 404))
+                                 return this->staging.onHeldChecked(false, bootNow());
+                             this->verifyPieces(held.value_or(std::vector<std::size_t>{}),
+                                                [this](const ReadBack &read) {
+                                                    if (read.isAnswered)
+                                                        this->beginCollecting(read.whole);
+                                                    else
+                                                        this->staging.onHeldChecked(false,
+                                                                                    bootNow());
+                                                });
+                         });
+    }
+
+    void beginCollecting(const ChunkSet &held)
+    {
+        const TimePoint now = bootNow();
+        const bool isNew = held.count() == 0 && this->stagedVersion != 0;
+        this->stagedVersion = this->staging.target();
+        const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
+                               .zone = this->settings.zone,
+                               .region = this->settings.region };
+        this->swarm.emplace(SwarmOptions{ .self = self,
+                                          .maxTransfers = 6,
+                                          .maxSourceTransfers = kOriginPieces,
+                                          .settleTime = 0ms,
+                                          .answerTime = isNew ? kAnswerTimeNew : kAnswerTimeOld,
+                                          .settleLimit = 2s,
+                                          .idleLimit = 1s,
+                                          .sourceLimit = kOriginTimeout,
+                                          .stallLimit = 1500ms,
+                                          .patience = 1s });
+        this->swarm->setPeers(this->peers(), now);
+        this->swarm->start(this->digests.size(), held, 1, now);
+        this->staging.onHeldChecked(true, now);
+        logInfo("weights are collected",
+                { { "version", this->staging.target() }, { "held", held.count() } });
+    }
+
+    /// Reads pieces back from the engine and finds those that are as they should be.
+    void verifyPieces(std::vector<std::size_t> pieces,
+                      const std::function<void(const ReadBack &)> &done)
+    {
+        struct Work
+        {
+            std::deque<std::size_t> left;
+            std::size_t running{ 0 };
+            ReadBack read;
+            std::function<void(const ReadBack &)> done;
+            std::uint64_t version{ 0 };
+        };
+        auto work = std::make_shared<Work>();
+        std::erase_if(pieces, [this](std::size_t piece) { return piece >= this->digests.size(); });
+        work->left.assign(pieces.begin(), pieces.end());
+        work->read.whole = ChunkSet(this->digests.size());
+        work->done = done;
+        work->version = this->staging.target();
+        if (pieces.empty())
+            return done(work->read);
+        auto step = std::make_shared<std::function<void()>>();
+        *step = [this, work, weak = std::weak_ptr(step)] {
+            const auto self = weak.lock();
+            while (work->running < kReadsAtOnce && !work->left.empty()) {
+                const std::size_t piece = work->left.front();
+                work->left.pop_front();
+                ++work->running;
+                this->readPiece(piece, [this, work, piece, self](const PieceRead &read) {
+                    --work->running;
+                    if (work->version != this->staging.target())
+                        return;
+                    if (!read.bytes.empty())
+                        work->read.whole.add(piece);
+                    if (!read.isAnswered) {
+                        work->read.isAnswered = false;
+                        work->left.clear();
+                    }
+                    if (work->left.empty() && work->running == 0)
+                        work->done(work->read);
+                    else
+                        (*self)();
+                });
+            }
+        };
+        (*step)();
+    }
+
+    /// Reads one piece back; `done` gets no bytes where it is missing or damaged.
+    void readPiece(std::size_t piece, const std::function<void(const PieceRead &)> &done)
+    {
+        const std::uint64_t version = this->staging.target();
+        this->callEngine({ .method = "GET",
+                           .target = this->dialect.getTarget(this->spec->model, piece) },
+                         kLocalTimeout, [this, piece, version, done](const CallResult &result) {
+                             const bool isWhole = version == this->staging.target()
+                                                  && result.isGood()
+                                                  && this->isPiece(piece, result.body);
+                             done({ .isAnswered = result.isWhole,
+                                    .bytes = isWhole ? result.body : std::string() });
+                         });
+    }
+
+    bool isPiece(std::size_t piece, const std::string &bytes) const
+    {
+        return piece < this->digests.size() && sha256Of(bytes) == this->digests[piece];
+    }
+
+    void readBack()
+    {
+        std::vector<std::size_t> all(this->digests.size());
+        for (std::size_t i = 0; i < all.size(); ++i)
+            all[i] = i;
+        this->verifyPieces(all, [this](const ReadBack &read) {
+            const TimePoint now = bootNow();
+            const ChunkSet &whole = read.whole;
+            if (!read.isAnswered)
+                return this->staging.onReadBackUnanswered(now);
+            if (!whole.full()) {
+                this->damaged += whole.size() - whole.count();
+                logWarn("staged weights are damaged", { { "version", this->staging.target() },
+                                                        { "whole", whole.count() } });
+                this->swarm->start(whole.size(), whole, 1, now);
+            }
+            this->staging.onReadBack(whole.full(), now);
+        });
+    }
+
+    void order()
+    {
+        const std::uint64_t version = this->staging.target();
+        ++this->orders;
+        // Gateways hear of it before the engine does.
+        this->isOrdering = true;
+        this->tellGateways();
+        logInfo("engine is ordered to load", { { "version", version } });
+        this->callEngine({ .method = "POST",
+                           .target = this->dialect.orderTarget,
+                           .body = this->dialect.startOrder(this->spec->model, version) },
+                         kLocalTimeout, [this](const CallResult &result) {
+                             const OrderOutcome outcome =
+                                     result.isWhole ? this->dialect.readOrderStatus(result.status)
+                                                    : OrderOutcome::unknown;
+                             logInfo("order was answered", { { "status", result.status },
+                                                             { "whole", result.isWhole } });
+                             this->isOrdering = false;
+                             if (outcome != OrderOutcome::refused && this->report)
+                                 this->report->isBusy = true;
+                             this->staging.onOrdered(outcome, bootNow());
+                         });
+    }
+
+    // The swarm.
+
+    std::vector<PeerRecord> peers() const
+    {
+        std::vector<PeerRecord> all;
+        for (const auto &[id, record] : this->reader.view().upstreams().all()) {
+            if (record.service != this->settings.engineService
+                || record.notice == UpstreamNotice::gone || record.isQuiet)
+                continue;
+            all.push_back({ .endpoint = linkEndpointOf(this->settings, record.endpoint),
+                            .zone = record.zone,
+                            .region = this->regionOf(record.zone) });
+        }
+        const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
+                               .zone = this->settings.zone,
+                               .region = this->settings.region };
+        return boundedPeers(all, self);
+    }
+
+    std::string regionOf(const std::string &zone) const
+    {
+        const auto found = std::ranges::find(this->settings.regions, zone, &ZoneRegion::zone);
+        return found == this->settings.regions.end() ? "" : found->region;
+    }
+
+    void refreshPeers()
+    {
+        if (this->swarm)
+            this->swarm->setPeers(this->peers(), bootNow());
+        this->staging.setSecondGroup(this->isInSecondGroup());
+    }
+
+    /// Engines of a zone belong to the two groups by turns.
+    bool isInSecondGroup() const
+    {
+        std::set<std::string> zone;
+        for (const auto &[id, record] : this->reader.view().upstreams().all()) {
+            if (record.service == this->settings.engineService
+                && record.notice == UpstreamNotice::ready && record.zone == this->settings.zone)
+                zone.insert(record.endpoint);
+        }
+        const auto rank = std::distance(zone.begin(), zone.find(this->settings.engineAddress));
+        return rank % 2 == 1;
+    }
+
+    void runSwarm(TimePoint now)
+    {
+        // Without the engine there is nowhere to put what comes.
+        if (!this->swarm || (!this->report && !this->swarm->done()))
+            return;
+        for (const SwarmAction &action : this->swarm->tick(now))
+            this->run(action);
+    }
+
+    void run(const SwarmAction &action)
+    {
+        const std::string version = this->versionName();
+        const std::string endpoint = ownLinkEndpoint(this->settings);
+        switch (action.kind) {
+        case SwarmAction::Kind::fetchFromSource:
+            return this->fetchFromOrigin(action.chunk);
+        case SwarmAction::Kind::fetchFromPeer:
+            this->chunkReads[action.chunk] = action.peer;
+            this->hub.send(action.peer, Channel::bulk,
+                           BlockRequest{ .version = version,
+                                         .chunk = static_cast<std::uint32_t>(action.chunk),
+                                         .size = static_cast<std::uint32_t>(
+                                                 this->spec->chunkBytes) });
+            return;
+        case SwarmAction::Kind::cancel:
+            this->chunkReads.erase(action.chunk);
+            return;
+        case SwarmAction::Kind::sendHave:
+            this->hub.send(action.peer, Channel::control,
+                           Have{ .endpoint = endpoint,
+                                 .version = version,
+                                 .chunks = action.chunks });
+            return;
+        case SwarmAction::Kind::sendProgress:
+            this->hub.send(
+                    action.peer, Channel::control,
+                    SwarmProgress{ .endpoint = endpoint,
+                                   .version = version,
+                                   .held = static_cast<std::uint32_t>(this->swarm->count()) });
+            return;
+        case SwarmAction::Kind::askHoldings:
+            return this->sendHoldings(action.peer, true);
+        }
+    }
+
+    void sendHoldings(const std::string &peer, bool ask)
+    {
+        this->hub.send(peer, Channel::control,
+                       Holdings{ .agent = this->settings.instance,
+                                 .endpoint = ownLinkEndpoint(this->settings),
+                                 .region = this->settings.region,
+                                 .version = this->versionName(),
+                                 .bitmap = this->swarm->holdings().toBytes(),
+                                 .ask = ask });
+    }
+
+    void onHoldings(const Holdings &holdings)
+    {
+        if (!this->isCurrent(holdings.version))
+            return;
+        const std::size_t count = this->swarm->holdings().size();
+        if (const auto chunks = ChunkSet::fromBytes(holdings.bitmap, count))
+            this->swarm->onHoldings(holdings.endpoint, *chunks, bootNow());
+        if (holdings.ask)
+            this->sendHoldings(holdings.endpoint, false);
+    }
+
+    void fetchFromOrigin(std::size_t piece)
+    {
+        const std::string version = this->versionName();
+        this->callOrigin(this->dialect.pieceTarget(this->spec->model, this->staging.target(), piece),
+                         [this, piece, version](const CallResult &result) {
+                             this->originBytes += result.body.size();
+                             if (this->isCurrent(version))
+                                 this->take(piece, result.isGood() ? result.body : "");
+                         });
+    }
+
+    void onPiece(const std::string &peer, const BlockReply &reply)
+    {
+        const auto asked = this->chunkReads.find(reply.chunk);
+        if (!this->isCurrent(reply.version) || asked == this->chunkReads.end()
+            || asked->second != peer)
+            return;
+        this->chunkReads.erase(asked);
+        this->peerBytes += reply.bytes.size();
+        this->swarm->onBlock(reply.chunk, bootNow());
+        this->take(reply.chunk, reply.bytes);
+    }
+
+    /// Verifies a piece and stages it; what is not whole is fetched again.
+    void take(std::size_t piece, const std::string &bytes)
+    {
+        const TimePoint now = bootNow();
+        if (bytes.empty())
+            return this->swarm->onFetched(piece, FetchOutcome::failed, 0ms, now);
+        if (!this->isPiece(piece, bytes)) {
+            ++this->damaged;
+            logWarn("a piece of weights is damaged", { { "piece", piece } });
+            return this->swarm->onFetched(piece, FetchOutcome::corrupt, 0ms, now);
+        }
+        const std::string version = this->versionName();
+        this->callEngine({ .method = "PUT",
+                           .target = this->dialect.putTarget(this->spec->model, piece),
+                           .body = bytes },
+                         kLocalTimeout, [this, piece, version](const CallResult &result) {
+                             if (this->isCurrent(version))
+                                 this->swarm->onFetched(piece,
+                                                        result.isGood() ? FetchOutcome::kept
+                                                                        : FetchOutcome::failed,
+                                                        0ms, bootNow());
+                         });
+    }
+
+    void answerPiece(const LinkPtr &link, const BlockRequest &request)
+    {
+        const auto refuse = [link, request] {
+            link->send(BlockReply{ .version = request.version, .chunk = request.chunk });
+        };
+        if (!this->isCurrent(request.version) || !this->swarm->holdings().has(request.chunk))
+            return refuse();
+        this->readPiece(request.chunk, [this, link, request, refuse](const PieceRead &read) {
+            if (read.bytes.empty())
+                return refuse();
+            this->servedBytes += read.bytes.size();
+            link->send(BlockReply{
+                    .version = request.version, .chunk = request.chunk, .bytes = read.bytes });
+        });
+    }
+
+    // Calls.
+
+    void callEngine(const LocalCall &call, Milliseconds timeout, CallDone done)
+    {
+        this->call(this->engine, call, timeout, kConnectionsToEngine, std::move(done));
+    }
+
+    void callOrigin(const std::string &target, CallDone done)
+    {
+        this->call(this->origin->endpoint, { .method = "GET", .target = target }, kOriginTimeout,
+                   kOriginPieces, std::move(done));
+    }
+
+    void call(const Endpoint &to, const LocalCall &call, Milliseconds timeout,
+              std::uint32_t connections, CallDone done)
+    {
+        auto pending = std::make_shared<Pending>();
+        pending->done = std::move(done);
+        pending->deadline = bootNow() + timeout;
+        std::string head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + to.text()
+                           + "\r\n";
+        if (call.method != "GET")
+            head += "Content-Type: application/json\r\nContent-Length: "
+                    + std::to_string(call.body.size()) + "\r\n";
+        const auto end = [this, pending](bool isWhole) {
+            this->pending.erase(pending);
+            pending->result.isWhole = isWhole;
+            std::exchange(pending->done, nullptr)(pending->result);
+        };
+        pending->number = this->calls.start({
+                .to = to,
+                .head = head + "\r\n",
+                .body = call.body,
+                .maxConnections = connections,
+                .connectTimeout = timeout,
+                .onHead = [pending](const HttpHead &head) { pending->result.status = head.status; },
+                .onBody = [pending](std::string &&part) { pending->result.body += part; },
+                .onEnd = [end](const CallEnd &how) { end(how.outcome == CallOutcome::whole); },
+        });
+        this->pending.insert(pending);
+    }
+
+    void endLateCalls()
+    {
+        const TimePoint now = bootNow();
+        const auto all = this->pending;
+        for (const auto &each : all) {
+            if (now < each->deadline || !each->done)
+                continue;
+            this->calls.cancel(each->number);
+            this->pending.erase(each);
+            std::exchange(each->done, nullptr)(each->result);
+        }
+        for (const LinkPtr &link : this->hub.peers(Role::entry)) {
+            if (this->gateways.insert(link).second)
+                link->send(this->told);
+        }
+    }
+
+    struct Pending
+    {
+        CallResult result;
+        CallDone done;
+        TimePoint deadline;
+        std::uint64_t number{ 0 };
+    };
+
+    const NodeSettings settings;
+    const StagerDialect dialect;
+    const std::uint64_t incarnation;
+    WorkerPool pool;
+    LinkHub hub;
+    ViewReader reader;
+    HttpPool calls;
+    Staging staging;
+    Endpoint engine;
+    std::set<std::shared_ptr<Pending>> pending;
+    std::set<LinkPtr> gateways;
+
+    std::uint64_t documentNumber{ 0 };
+    std::optional<EngineSpec> spec;
+    std::optional<OriginSpec> origin;
+    std::optional<EngineReport> report;
+    bool isReading{ false };
+    bool isOrdering{ false };
+    LoadNotice told;
+    TimePoint toldAt;
+
+    std::vector<std::string> digests; ///< of the target version's pieces
+    std::uint64_t stagedVersion{ 0 }; ///< last version of which this process staged pieces
+    std::optional<Swarm> swarm;
+    std::map<std::size_t, std::string> chunkReads; ///< peer that was asked for a piece
+
+    std::uint64_t originBytes{ 0 };
+    std::uint64_t peerBytes{ 0 };
+    std::uint64_t servedBytes{ 0 };
+    std::uint64_t damaged{ 0 };
+    std::uint64_t orders{ 0 };
+};
+
+Stager::Stager(const NodeSettings &settings, StagerDialect dialect)
+    : impl(std::make_shared<Impl>(settings, std::move(dialect)))
+{}
+
+Stager::~Stager() = default;
+
+bool Stager::start(std::string &problem)
+{
+    return this->impl->start(problem);
+}
+
+void Stager::stop()
+{
+    this->impl->stop();
+}
+
+void Stager::addSeeds(const std::vector<std::string> &seeds)
+{
+    this->impl->addSeeds(seeds);
+}
+
+std::string Stager::metricsText() const
+{
+    return this->impl->metricsText();
+}
+
+asio::io_context &Stager::context()
+{
+    return this->impl->context();
+}
+
+} // namespace egret
--- /dev/null
+++ b/src/staging.cpp
@@ -0,0 +1,125 @@
+#include "staging.h"
+
+namespace egret {
+
+void Staging::setTarget(std::uint64_t target, bool isNewlyNamed, TimePoint now)
+{
+    if (target <= this->version)
+        return;
+    this->version = target;
+    this->isNew = isNewlyNamed;
+    this->namedAt = now;
+    this->phase = Phase::manifest;
+    this->isRunning = false;
+    this->notBefore = now;
+    this->verifiedAt.reset();
+}
+
+void Staging::onEngine(const EngineStanding &standing)
+{
+    this->engine = standing;
+}
+
+StagingTask Staging::next(TimePoint now)
+{
+    if (this->isRunning || now < this->notBefore)
+        return StagingTask::none;
+    switch (this->phase) {
+    case Phase::none:
+        return StagingTask::none;
+    case Phase::manifest:
+        return this->run(StagingTask::fetchManifest);
+    case Phase::held:
+        return this->run(StagingTask::checkHeld);
+    case Phase::collecting:
+        return StagingTask::collect;
+    case Phase::ordered:
+        if (now < this->orderedAt + this->options.orderPatience || !this->engine
+            || this->engine->isBusy || this->isLoaded())
+            return StagingTask::none;
+        // The order was lost, or what it loaded was lost with a restart.
+        this->phase = Phase::staged;
+        this->verifiedAt.reset();
+        [[fallthrough]];
+    case Phase::staged:
+        if (!this->engine || this->engine->isBusy || this->isLoaded() || !this->isTurn(now))
+            return StagingTask::none;
+        if (!this->verifiedAt || now > *this->verifiedAt + this->options.verifiedFor)
+            return this->run(StagingTask::readBack);
+        return this->run(StagingTask::order);
+    }
+    return StagingTask::none;
+}
+
+/// An engine without weights serves nothing: it waits for no one.
+bool Staging::isTurn(TimePoint now) const
+{
+    if (!this->isNew || !this->isSecondGroup || this->engine->version == 0)
+        return true;
+    return now >= this->namedAt + this->options.bound - this->options.secondGroupLead;
+}
+
+StagingTask Staging::run(StagingTask task)
+{
+    this->isRunning = true;
+    return task;
+}
+
+void Staging::retryLater(TimePoint now)
+{
+    this->notBefore = now + this->options.retry;
+}
+
+void Staging::onManifest(bool isTaken, TimePoint now)
+{
+    this->isRunning = false;
+    if (isTaken)
+        this->phase = Phase::held;
+    else
+        this->retryLater(now);
+}
+
+void Staging::onHeldChecked(bool isChecked, TimePoint now)
+{
+    this->isRunning = false;
+    if (isChecked)
+        this->phase = Phase::collecting;
+    else
+        this->retryLater(now);
+}
+
+void Staging::onCollected(TimePoint)
+{
+    if (this->phase == Phase::collecting)
+        this->phase = Phase::staged;
+}
+
+void Staging::onReadBack(bool isWhole, TimePoint now)
+{
+    this->isRunning = false;
+    if (isWhole) {
+        this->verifiedAt = now;
+        return;
+    }
+    this->verifiedAt.reset();
+    this->phase = Phase::collecting;
+}
+
+void Staging::onReadBackUnanswered(TimePoint now)
+{
+    this->isRunning = false;
+    this->retryLater(now);
+}
+
+void Staging::onOrdered(OrderOutcome outcome, TimePoint now)
+{
+    this->isRunning = false;
+    this->verifiedAt.reset();
+    this->orderedAt = now;
+    if (outcome == OrderOutcome::refused)
+        this->retryLater(now);
+    else
+        this->phase = Phase::ordered;
+}
+
+} // namespace egret
--- /dev/null
+++ b/src/staging.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "types.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace egret {
+
+struct StagingOptions
+{
+    Milliseconds bound{ 8s };          ///< time in which a named version is to be served
+    Milliseconds secondGroupLead{ 2s }; ///< the second group loads this long before the bound ends
+    Milliseconds retry{ 300ms };        ///< after a failure
+    Milliseconds verifiedFor{ 700ms };  ///< pieces read back longer ago are read back again
+    Milliseconds orderPatience{ 1s };   ///< time for an order to show in the engine's report
+};
+
+/// What an engine says of itself.
+struct EngineStanding
+{
+    std::uint64_t version{ 0 }; ///< of which it holds every layer, 0 for none
+    bool isBusy{ false };       ///< carries out an order
+};
+
+/// How an order ended.
+enum class OrderOutcome : std::uint8_t { begun, inEffect, refused, unknown };
+
+/// What the shell is to do next.
+enum class StagingTask : std::uint8_t {
+    none,
+    fetchManifest, ///< of the target version
+    checkHeld,     ///< verify the pieces that are staged already
+    collect,       ///< bring the missing pieces in, tick by tick
+    readBack,      ///< read every staged piece back and verify it
+    order,         ///< order the engine to load what is staged
+};
+
+/// Brings one engine to the version of its weights that is named: pieces are
+/// collected, read back right before the order, since staged bytes may rot and
+/// the engine doesn't check them, and loaded when its group's turn has come.
+/// Half of the engines load first, so that the others serve meanwhile.
+/// Deterministic; not thread safe.
+class Staging
+{
+public:
+    explicit Staging(StagingOptions options = {}) : options(options) {}
+
+    /// Sets the version to be served. `isNew`: it was named just now.
+    void setTarget(std::uint64_t version, bool isNew, TimePoint now);
+
+    /// Whether the engine belongs to the half that loads last.
+    void setSecondGroup(bool isSecond) { this->isSecondGroup = isSecond; }
+
+    void onEngine(const EngineStanding &standing);
+
+    /// The engine did not answer; nothing is ordered meanwhile.
+    void onEngineLost() { this->engine.reset(); }
+
+    /// What is to be done now; the shell reports the end of every task but
+    /// `collect` before it asks again.
+    StagingTask next(TimePoint now);
+
+    void onManifest(bool isTaken, TimePoint now);
+
+    /// The staged pieces are checked; collecting begins. False: the engine did not answer.
+    void onHeldChecked(bool isChecked, TimePoint now);
+    void onCollected(TimePoint now);
+
+    /// Every piece was read back; `isWhole` when all were as they should be.
+    void onReadBack(bool isWhole, TimePoint now);
+
+    /// The engine did not answer while its pieces were read back.
+    void onReadBackUnanswered(TimePoint now);
+
+    void onOrdered(OrderOutcome outcome, TimePoint now);
+
+    std::uint64_t target() const { return this->version; }
+    bool isLoaded() const { return this->engine && this->engine->version >= this->version; }
+
+private:
+    enum class Phase : std::uint8_t { none, manifest, held, collecting, staged, ordered };
+
+    bool isTurn(TimePoint now) const;
+    void retryLater(TimePoint now);
+    StagingTask run(StagingTask task);
+
+    StagingOptions options;
+    std::uint64_t version{ 0 };
+    TimePoint namedAt;
+    bool isNew{ false };
+    bool isSecondGroup{ false };
+    Phase phase{ Phase::none };
+    bool isRunning{ false }; ///< a task is under way
+    TimePoint notBefore;
+    std::optional<TimePoint> verifiedAt;
+    TimePoint orderedAt;
+    std::optional<EngineStanding> engine;
+};
+
+} // namespace egret
--- /dev/null
+++ b/src/upstream_choice.cpp
@@ -0,0 +1,283 @@
+#include "upstream_choice.h"
+
+#include "engine_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace egret {
+
+namespace {
+
+/// Own sends that a notice can't have counted yet: it was read this much
+/// before it came, and requests take a moment to arrive.
+constexpr Milliseconds kNoticeLag = 30ms;
+constexpr Milliseconds kSentKept = 1s;
+/// A refusing upstream is left alone for a moment.
+constexpr Milliseconds kRefusedPause = 100ms;
+constexpr Milliseconds kLeastRetry = 100ms;
+constexpr Milliseconds kLongestRetry = 2s;
+/// Plain services are quick: what a request in flight there is taken to cost,
+/// and the difference that counts little. Together they keep requests in the
+/// own zone until a few are in flight there.
+constexpr FloatMilliseconds kPlainLoad{ 3 };
+constexpr FloatMilliseconds kPlainSpread{ 2 };
+/// What a prediction is raised by where the upstream has not been heard of late.
+constexpr Milliseconds kQuietPenalty = 10s;
+
+bool isIn(const std::vector<std::string> *regions, const std::string &region)
+{
+    return regions == nullptr || regions->empty()
+           || std::ranges::find(*regions, region) != regions->end();
+}
+
+} // namespace
+
+const char *noChoiceName(NoChoice problem)
+{
+    switch (problem) {
+    case NoChoice::none:
+        return "none";
+    case NoChoice::unknown:
+        return "no-upstream";
+    case NoChoice::busy:
+        return "busy";
+    case NoChoice::failing:
+        return "failing";
+    }
+    return "unknown";
+}
+
+UpstreamChoice::UpstreamChoice(ChoiceOptions options, std::uint64_t seed)
+    : options(std::move(options)), random(seed)
+{}
+
+void UpstreamChoice::onRecord(const UpstreamRecord &record, TimePoint now)
+{
+    if (record.notice == UpstreamNotice::gone) {
+        const auto found = this->upstreams.find(record.id);
+        if (found != this->upstreams.end()) {
+            std::erase_if(this->byEndpoint,
+                          [&](const auto &each) { return each.second == record.id; });
+            this->upstreams.erase(found);
+        }
+        return;
+    }
+    const auto endpoint = Endpoint::parse(record.endpoint);
+    if (!endpoint)
+        return;
+    Upstream &upstream = this->upstreams[record.id];
+    if (upstream.record.born != record.born)
+        upstream = {};
+    upstream.record = record;
+    upstream.endpoint = *endpoint;
+    upstream.coldUntil = now + record.coldFor;
+    this->byEndpoint[record.endpoint] = record.id;
+}
+
+void UpstreamChoice::onNotice(const LoadNotice &notice, TimePoint now)
+{
+    const auto found = this->byEndpoint.find(notice.endpoint);
+    if (found == this->byEndpoint.end())
+        return;
+    Upstream &upstream = this->upstreams[found->second];
+    upstream.notice = notice;
+    upstream.noticedAt = now;
+    upstream.noticed = true;
+    while (!upstream.sent.empty() && upstream.sent.front().at < now - kSentKept)
+        upstream.sent.pop_front();
+}
+
+void UpstreamChoice::setZonesOut(const std::vector<std::string> &zones)
+{
+    this->zonesOut = { zones.begin(), zones.end() };
+}
+
+Choice UpstreamChoice::choose(const ChoiceQuery &query, TimePoint now)
+{
+    // Step 1. Those that may take the request at all.
+    std::vector<Candidate> candidates;
+    std::vector<Candidate> failing;
+    Choice choice{ .problem = NoChoice::unknown, .retryAfter = kLongestRetry };
+    for (auto &[id, upstream] : this->upstreams) {
+        if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
+            || !this->servesVersion(upstream, query, now))
+            continue;
+        choice.problem = NoChoice::failing;
+        choice.retryAfter = kLeastRetry * 5;
+        if (query.excluded.contains(id))
+            continue;
+        const bool isEngine = query.plan != nullptr && query.plan->engine;
+        const Candidate candidate = isEngine ? this->weighEngine(id, upstream, query, now)
+                                             : this->weighPlain(id, upstream, query, now);
+        const bool isBad = this->outliers.isEjected(id, now) || now < upstream.refusedUntil
+                           || this->isColdFull(upstream, query, now);
+        (isBad ? failing : candidates).push_back(candidate);
+    }
+    // Step 2. One that fails is better than none for what may be repeated.
+    if (candidates.empty() && query.mayRunTwice) {
+        std::erase_if(failing, [&](const Candidate &each) {
+            return this->isColdFull(*each.upstream, query, now);
+        });
+        candidates = failing;
+    }
+    if (candidates.empty())
+        return choice;
+    // Step 3. Of those, the ones that answer in time.
+    const auto quickest = std::ranges::min(candidates, {}, &Candidate::expected).expected;
+    if (query.firstWithin && quickest > *query.firstWithin) {
+        choice.problem = NoChoice::busy;
+        const auto excess = std::chrono::ceil<Milliseconds>(quickest - *query.firstWithin);
+        choice.retryAfter = std::clamp(excess, kLeastRetry, kLongestRetry);
+        choice.expectedFirst = std::chrono::ceil<Milliseconds>(quickest);
+        return choice;
+    }
+    const bool isPlain = query.plan == nullptr || !query.plan->engine;
+    const FloatMilliseconds spread =
+            isPlain ? kPlainSpread : FloatMilliseconds(this->options.spread);
+    for (Candidate &candidate : candidates) {
+        const double behind = (candidate.expected - quickest) / spread;
+        candidate.weight = std::exp(-behind);
+    }
+    const Candidate &best = this->draw(candidates);
+    Upstream &upstream = *best.upstream;
+    const double bound = query.plan != nullptr ? query.plan->maxConnections : 0;
+    const double share = bound * this->options.connectionShare / this->gateways;
+    choice = { .upstream = *best.id,
+               .endpoint = upstream.endpoint,
+               .version = this->isNoticed(upstream, now) ? upstream.notice.version
+                                                         : upstream.record.version,
+               .maxConnections = bound > 0 ? std::max(2U, static_cast<std::uint32_t>(share)) : 256,
+               .expectedFirst = std::chrono::ceil<Milliseconds>(best.expected),
+               .load = best.load,
+               .noticeAge = upstream.noticed ? std::chrono::floor<Milliseconds>(
+                                    now - upstream.noticedAt)
+                                             : 0ms };
+    return choice;
+}
+
+bool UpstreamChoice::isAllowed(const Upstream &upstream, const ChoiceQuery &query) const
+{
+    const UpstreamRecord &record = upstream.record;
+    if (record.notice != UpstreamNotice::ready || this->zonesOut.contains(record.zone))
+        return false;
+    const auto region = this->options.regions.find(record.zone);
+    const std::string name = region == this->options.regions.end() ? "" : region->second;
+    return isIn(query.routeRegions, name) && isIn(query.customerRegions, name);
+}
+
+bool UpstreamChoice::isNoticed(const Upstream &upstream, TimePoint now) const
+{
+    return upstream.noticed && now - upstream.noticedAt < this->options.noticeLimit;
+}
+
+/// True where an engine holds the weights that are wanted.
+bool UpstreamChoice::servesVersion(const Upstream &upstream, const ChoiceQuery &query,
+                                   TimePoint now) const
+{
+    if (query.plan == nullptr || !query.plan->engine)
+        return true;
+    const bool isNoticed = this->isNoticed(upstream, now);
+    if (isNoticed && !upstream.notice.isUsable)
+        return false;
+    const std::uint64_t version = isNoticed ? upstream.notice.version : upstream.record.version;
+    return version > 0 && version >= query.leastVersion
+           && (query.exactVersion == 0 || version == query.exactVersion);
+}
+
+/// True when a cold upstream has had its share of the last second's requests.
+bool UpstreamChoice::isColdFull(Upstream &upstream, const ChoiceQuery &query, TimePoint now) const
+{
+    if (now >= upstream.coldUntil || query.plan == nullptr || query.plan->coldRate <= 0)
+        return false;
+    const auto ofLate = std::ranges::count_if(
+            upstream.sent, [now](const Sent &each) { return each.at > now - kSentKept; });
+    const double share = query.plan->coldRate / this->gateways;
+    return static_cast<double>(ofLate) >= std::max(1.0, share);
+}
+
+UpstreamChoice::Candidate UpstreamChoice::weighEngine(const std::string &id, Upstream &upstream,
+                                                      const ChoiceQuery &query,
+                                                      TimePoint now) const
+{
+    const EngineModel model(*query.plan->engine);
+    EngineLoad load{ .active = static_cast<double>(upstream.inFlight) * this->gateways };
+    if (this->isNoticed(upstream, now)) {
+        load = { .active = static_cast<double>(upstream.notice.active),
+                 .queued = static_cast<double>(upstream.notice.queued),
+                 .pace = std::max(1.0, upstream.notice.pace) };
+        for (const Sent &sent : upstream.sent) {
+            if (sent.at < upstream.noticedAt - kNoticeLag)
+                continue;
+            load.queued += 1;
+            load.promptTokens += sent.promptTokens;
+        }
+    }
+    load.queued += this->outliers.penalty(id, now);
+    FloatMilliseconds expected = model.firstToken(load, query.promptTokens);
+    if (upstream.record.zone != this->options.zone)
+        expected += this->options.farther;
+    if (upstream.record.isQuiet)
+        expected += kQuietPenalty;
+    return { .id = &id,
+             .upstream = &upstream,
+             .load = load.active + load.queued,
+             .expected = expected };
+}
+
+/// A plain service tells nothing of its load: own requests there count.
+UpstreamChoice::Candidate UpstreamChoice::weighPlain(const std::string &id, Upstream &upstream,
+                                                     const ChoiceQuery &, TimePoint now) const
+{
+    const double load = upstream.inFlight + this->outliers.penalty(id, now);
+    FloatMilliseconds expected = load * kPlainLoad;
+    if (upstream.record.zone != this->options.zone)
+        expected += this->options.farther;
+    if (upstream.record.isQuiet)
+        expected += kQuietPenalty;
+    return { .id = &id, .upstream = &upstream, .load = load, .expected = expected };
+}
+
+/// Draws by weight.
+const UpstreamChoice::Candidate &UpstreamChoice::draw(const std::vector<Candidate> &candidates)
+{
+    std::vector<double> weights;
+    for (const Candidate &candidate : candidates)
+        weights.push_back(candidate.weight);
+    std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
+    return candidates[distribution(this->random)];
+}
+
+void UpstreamChoice::onSent(const std::string &upstream, double promptTokens, TimePoint now)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end())
+        return;
+    ++found->second.inFlight;
+    found->second.sent.push_back({ .at = now, .promptTokens = promptTokens });
+    while (found->second.sent.front().at < now - kSentKept)
+        found->second.sent.pop_front();
+}
+
+void UpstreamChoice::onEnded(const std::string &upstream, bool failed, TimePoint now)
+{
+    if (failed)
+        this->outliers.onFailure(upstream, now);
+    else
+        this->outliers.onWhole(upstream);
+    const auto found = this->upstreams.find(upstream);
+    if (found != this->upstreams.end() && found->second.inFlight > 0)
+        --found->second.inFlight;
+}
+
+void UpstreamChoice::onRefused(const std::string &upstream, TimePoint now)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end())
+        return;
+    found->second.refusedUntil = now + kRefusedPause;
+    if (found->second.inFlight > 0)
+        --found->second.inFlight;
+}
+
+} // namespace egret
--- /dev/null
+++ b/src/view_state.cpp
@@ -0,0 +1,86 @@
+#include "view_state.h"
+
+#include "registry_node.h"
+
+#include <algorithm>
+
+namespace egret {
+
+namespace {
+
+Milliseconds sinceEpoch(TimePoint at)
+{
+    return std::chrono::floor<Milliseconds>(at.time_since_epoch());
+}
+
+} // namespace
+
+ViewPull ViewState::pull(const std::string &registry, TimePoint now) const
+{
+    const auto found = this->seen.find(registry);
+    const Seen known = found == this->seen.end() ? Seen{} : found->second;
+    return { .instance = this->options.instance,
+             .isGateway = this->options.isGateway,
+             .sentAt = sinceEpoch(now),
+             .receiverIncarnation = known.incarnation,
+             .change = known.change,
+             .stateIndex = this->operators.index,
+             .documentNumber = this->number(kDocumentText) };
+}
+
+ViewChanges ViewState::take(const std::string &registry, const View &view, TimePoint now)
+{
+    ViewChanges changes;
+    Seen &known = this->seen[registry];
+    const bool isSameLife = known.incarnation == view.incarnation;
+    known = { .incarnation = view.incarnation,
+              .change = isSameLife ? std::max(known.change, view.change) : view.change,
+              .gateways = view.gateways };
+    this->named.insert(view.registries.begin(), view.registries.end());
+    if (view.hasState && view.state.index > this->operators.index)
+        changes.state = this->takeState(view.state);
+    for (const UpstreamRecord &record : view.upstreams) {
+        if (this->records.take(record))
+            changes.upstreams.push_back(record.id);
+    }
+    // A push answers nothing: when its state was confirmed is not known here.
+    if (!view.isPush && view.isConfirmed) {
+        const TimePoint askedAt(std::min<Duration>(view.askedAt, now.time_since_epoch()));
+        const TimePoint until = askedAt - view.confirmedFor + this->options.lease;
+        this->confirmedUntil = std::max(this->confirmedUntil.value_or(until), until);
+    }
+    return changes;
+}
+
+/// Takes a newer state; texts that it leaves out stay.
+bool ViewState::takeState(const OperatorState &state)
+{
+    this->operators.index = state.index;
+    this->operators.zonesOut = state.zonesOut;
+    for (const NumberedText &text : state.texts) {
+        auto &texts = this->operators.texts;
+        const auto standing = std::ranges::find(texts, text.name, &NumberedText::name);
+        if (standing == texts.end())
+            texts.push_back(text);
+        else if (text.number > standing->number)
+            *standing = text;
+    }
+    return true;
+}
+
+std::uint64_t ViewState::number(const std::string &text) const
+{
+    const auto &texts = this->operators.texts;
+    const auto standing = std::ranges::find(texts, text, &NumberedText::name);
+    return standing == texts.end() ? 0 : standing->number;
+}
+
+std::uint32_t ViewState::gateways() const
+{
+    std::uint32_t most = 1;
+    for (const auto &[registry, known] : this->seen)
+        most = std::max(most, known.gateways);
+    return most;
+}
+
+} // namespace egret
