Pace uploads of weights; refuse late in a stop; hold each version's bound

Ruled out: the origin's link (1.0 copies in 2.8 s) and the processor (0.015 core). Conclusion: one piece at a time from a peer, three quarters of the link.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -31,6 +31,9 @@
 /// The balancer asks once a second and forgets an instance after two misses;
 /// clients that it sends meanwhile are still served.
 constexpr Milliseconds kStopLag = 2500ms;
+/// From then on a stopping instance refuses: a stream that began later would not
+/// end within the grace time.
+constexpr Milliseconds kStopAccepting = 3s;
 /// A planned stop ends this long before the kill.
 constexpr Milliseconds kStopMargin = 500ms;
 constexpr Milliseconds kDrainPoll = 50ms;
@@ -46,7 +49,7 @@
 constexpr double kRatioShare = 0.75;
 /// Requests stop going to older weights this long before their bound ends: they
 /// may still wait at the engine before they begin.
-constexpr Milliseconds kVersionMargin = 1500ms;
+constexpr Milliseconds kVersionMargin = 1000ms;
 /// A client that has waited past its objective already gets what is left over:
 /// this share of the objective for its first event.
 constexpr double kLateShare = 0.6;
@@ -174,7 +177,8 @@
     bool drain()
     {
         const TimePoint begin = bootNow();
-        this->onThread([this] {
+        this->onThread([this, begin] {
+            this->stopBegan = begin;
             this->stopping = true;
             this->front.refuseReuse();
             logInfo("planned stop begins", { { "inFlight", this->front.unanswered() } });
@@ -293,6 +297,7 @@
             else if (text.name.starts_with(kWeightsTextPrefix))
                 this->takeVersion(text, now);
         }
+        this->sawState = true;
     }
 
     void takeDocument(const NumberedText &text)
@@ -311,14 +316,18 @@
                                           { "index", this->reader.view().state().index } });
     }
 
+    /// Notes a version. Which was named while this instance was not there, or
+    /// when, is not known: it is preferred from the start.
     void takeVersion(const NumberedText &text, TimePoint now)
     {
-        WeightsTarget &target = this->targets[text.name.substr(
+        WeightsTargets &model = this->targets[text.name.substr(
                 std::string_view(kWeightsTextPrefix).size())];
-        if (text.number <= target.version)
+        if (text.number <= model.newest)
             return;
-        target = { .version = text.number,
-                   .onlySince = now + this->settings.bounds.version - kVersionMargin };
+        model.newest = text.number;
+        if (!this->sawState)
+            model.preferred = text.number;
+        model.dueAt[text.number] = now + this->settings.bounds.version - kVersionMargin;
         logInfo("weights version is named", { { "text", text.name }, { "number", text.number } });
     }
 
@@ -346,7 +355,8 @@
                 continue;
             if (const auto endpoint =
                         Endpoint::parse(linkEndpointOf(this->settings, record.endpoint)))
-                this->hub.open(*endpoint, Channel::serve);
+                this->upstreams.setRoundTrip(
+                        record.endpoint, this->hub.open(*endpoint, Channel::serve)->roundTrip());
         }
     }
 
@@ -356,6 +366,8 @@
     {
         RequestFacts facts = this->dialect.readRequest(request);
         const TimePoint now = bootNow();
+        if (this->stopping && now >= this->stopBegan + kStopAccepting)
+            return this->refuse(facts, *reply, kUnavailable, "stopping");
         // Step 1. What the document says of it.
         const bool isConfirmed = this->reader.view().isConfirmed(now);
         const PlanRoute *route =
@@ -453,8 +465,10 @@
         if (!exchange.service->engine)
             return query;
         const auto target = this->targets.find(exchange.service->engine->model);
-        if (target != this->targets.end() && now >= target->second.onlySince)
-            query.leastVersion = target->second.version;
+        if (target != this->targets.end()) {
+            query.preferredVersion = target->second.preferred;
+            query.leastVersion = target->second.due(now);
+        }
         if (!isResume)
             query.firstWithin = firstWithin(exchange, now);
         return query;
@@ -817,11 +831,23 @@
         }
     }
 
-    /// A version of weights that must be served from some time on.
-    struct WeightsTarget
+    /// Versions of a model's weights that must be served from some time on.
+    struct WeightsTargets
     {
-        std::uint64_t version{ 0 };
-        TimePoint onlySince;
+        std::uint64_t newest{ 0 };
+        std::uint64_t preferred{ 0 };               ///< named at a time that is not known
+        std::map<std::uint64_t, TimePoint> dueAt; ///< older ones get no request from then on
+
+        /// The highest version that is due, 0 for none.
+        std::uint64_t due(TimePoint now) const
+        {
+            std::uint64_t highest = 0;
+            for (const auto &[version, at] : this->dueAt) {
+                if (now >= at)
+                    highest = version;
+            }
+            return highest;
+        }
     };
 
     const NodeSettings settings;
@@ -834,7 +860,8 @@
     HttpPool calls;
     HttpFront front;
     PlanIndexPtr plan;
-    std::map<std::string, WeightsTarget> targets; ///< by model
+    std::map<std::string, WeightsTargets> targets; ///< by model
+    bool sawState{ false };
     std::map<std::string, RetryBudget> budgets;   ///< by service
     std::uint32_t budgetGateways{ 0 };
     std::set<ExchangePtr> exchanges;
@@ -843,6 +870,7 @@
     std::map<std::string, LatencyHistogram> firstTimes;
     std::map<std::string, LatencyHistogram> wholeTimes;
     std::atomic<bool> stopping{ false };
+    TimePoint stopBegan;
     bool wasConfirmed{ false };
 };
 
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -161,6 +161,15 @@
 
     std::size_t queuedBytes() const override { return this->queued; }
 
+    Duration roundTrip() const override
+    {
+        const std::lock_guard lock(this->peerMutex);
+        if (!this->unansweredSince)
+            return this->lastRoundTrip;
+        return std::max(this->lastRoundTrip,
+                        std::chrono::steady_clock::now() - *this->unansweredSince);
+    }
+
 private:
     void exchangeNonces()
     {
@@ -324,8 +333,10 @@
             this->enqueue(Pong{ .sequence = ping->sequence });
             return;
         }
-        if (std::holds_alternative<Pong>(frame.message))
+        if (const auto *pong = std::get_if<Pong>(&frame.message)) {
+            this->notePong(*pong);
             return;
+        }
         if (const auto *hello = std::get_if<Hello>(&frame.message)) {
             const std::lock_guard lock(this->peerMutex);
             this->peerHello = *hello;
@@ -352,11 +363,32 @@
                         return;
                     }
                     if (self->incoming)
-                        self->enqueue(Ping{ .sequence = ++self->pingSequence });
+                        self->sendPing();
                     self->watch();
                 }));
     }
 
+    void sendPing()
+    {
+        {
+            const std::lock_guard lock(this->peerMutex);
+            if (!this->unansweredSince) {
+                this->unansweredSince = std::chrono::steady_clock::now();
+                this->unansweredPing = this->pingSequence + 1;
+            }
+        }
+        this->enqueue(Ping{ .sequence = ++this->pingSequence });
+    }
+
+    void notePong(const Pong &pong)
+    {
+        const std::lock_guard lock(this->peerMutex);
+        if (!this->unansweredSince || pong.sequence < this->unansweredPing)
+            return;
+        this->lastRoundTrip = std::chrono::steady_clock::now() - *this->unansweredSince;
+        this->unansweredSince.reset();
+    }
+
     void shut(const std::string &why)
     {
         if (this->down.exchange(true))
@@ -395,8 +427,11 @@
     bool writing{ false };
     std::array<char, kLengthBytes> prefix{};
     std::string body;
-    mutable std::mutex peerMutex;
+    mutable std::mutex peerMutex; ///< of all that follows
     Hello peerHello;
+    Duration lastRoundTrip{ 0 };
+    std::optional<TimePoint> unansweredSince;
+    std::uint64_t unansweredPing{ 0 };
 };
 
 } // namespace
--- a/src/link.h
+++ b/src/link.h
@@ -61,6 +61,10 @@
 
     /// Bytes queued and not yet written.
     virtual std::size_t queuedBytes() const = 0;
+
+    /// Time that the last heartbeat took there and back, or the age of the one
+    /// that is still unanswered where that is longer; zero before the first.
+    virtual Duration roundTrip() const = 0;
 };
 
 /// Accepts and opens links. Thread safe.
--- a/src/source_pool.cpp
+++ b/src/source_pool.cpp
@@ -9,6 +9,9 @@
 constexpr Milliseconds kFirstBackoff = 250ms;
 constexpr Milliseconds kLongestBackoff = 8s;
 constexpr Milliseconds kCorruptBackoff = 60s;
+/// Of the only source, after damaged bytes and at most after failures.
+constexpr Milliseconds kOnlyBackoff = 100ms;
+constexpr Milliseconds kOnlyLongestBackoff = 1s;
 constexpr std::uint32_t kMostDoublings = 5;
 
 } // namespace
@@ -44,14 +47,19 @@
     Source &failed = this->sources[source];
     const auto doublings = std::min(failed.failures, kMostDoublings);
     ++failed.failures;
-    const Milliseconds backoff = std::min(kFirstBackoff * (1U << doublings), kLongestBackoff);
+    const Milliseconds longest =
+            this->sources.size() == 1 ? kOnlyLongestBackoff : kLongestBackoff;
+    const Milliseconds backoff = std::min(kFirstBackoff * (1U << doublings), longest);
     failed.askAfter = now + std::max(backoff, retryAfter);
 }
 
 void SourcePool::onCorrupt(std::size_t source, TimePoint now)
 {
-    if (source < this->sources.size())
-        this->sources[source].askAfter = now + kCorruptBackoff;
+    if (source >= this->sources.size())
+        return;
+    // The only source has to be asked again: not all that it sends is damaged.
+    const Milliseconds backoff = this->sources.size() == 1 ? kOnlyBackoff : kCorruptBackoff;
+    this->sources[source].askAfter = now + backoff;
 }
 
 } // namespace egret
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -10,6 +10,8 @@
 #include "swarm.h"
 #include "view_reader.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <atomic>
 #include <deque>
@@ -39,6 +41,11 @@
 constexpr Milliseconds kAnswerTimeNew = 20ms;
 constexpr Milliseconds kAnswerTimeOld = 900ms;
 constexpr std::uint32_t kConnectionsToEngine = 8;
+/// Share of the machine's link that pieces for peers may take: answers of the
+/// engine go over the same link and must not wait for more than one piece.
+constexpr double kUploadShare = 0.75;
+/// Requests of peers that waited longer have been given up by them.
+constexpr Milliseconds kUploadLimit = 2500ms;
 
 /// The piece of one call.
 struct LocalCall
@@ -88,7 +95,7 @@
           reader(settings, false, this->hub,
                  { .stateChanged = [this] { this->onState(); },
                    .upstreamChanged = [](const UpstreamRecord &) {} }),
-          calls(this->pool.context()),
+          calls(this->pool.context()), uploadTimer(this->pool.context()),
           staging({ .bound = settings.bounds.version })
     {}
 
@@ -311,7 +318,9 @@
         case StagingTask::collect:
             this->runSwarm(now);
             if (this->swarm->done()) {
-                logInfo("weights are staged", { { "version", this->staging.target() } });
+                logInfo("weights are staged", { { "version", this->staging.target() },
+                                                { "originBytes", this->originBytes },
+                                                { "peerBytes", this->peerBytes } });
                 this->staging.onCollected(now);
             }
             return;
@@ -379,11 +388,12 @@
                                .region = this->settings.region };
         this->swarm.emplace(SwarmOptions{ .self = self,
                                           .maxTransfers = 6,
+                                          .maxPeerTransfers = 1,
                                           .maxSourceTransfers = kOriginPieces,
                                           .settleTime = 0ms,
                                           .answerTime = isNew ? kAnswerTimeNew : kAnswerTimeOld,
                                           .settleLimit = 2s,
-                                          .idleLimit = 1s,
+                                          .idleLimit = kUploadLimit,
                                           .sourceLimit = kOriginTimeout,
                                           .stallLimit = 1500ms,
                                           .patience = 1s });
@@ -664,7 +674,48 @@
                          });
     }
 
+    /// Queues a peer's request. Those from other regions go first: a whole
+    /// region waits for each.
     void answerPiece(const LinkPtr &link, const BlockRequest &request)
+    {
+        const Upload upload{ .link = link,
+                             .request = request,
+                             .askedAt = bootNow(),
+                             .isRemote = link->peer().region != this->settings.region };
+        const auto isLocal = [](const Upload &each) { return !each.isRemote; };
+        const auto place = upload.isRemote ? std::ranges::find_if(this->uploads, isLocal)
+                                           : this->uploads.end();
+        this->uploads.insert(place, upload);
+        this->uploadNext();
+    }
+
+    /// Sends queued pieces one after the other at the link's pace.
+    void uploadNext()
+    {
+        if (this->isUploading)
+            return;
+        const TimePoint now = bootNow();
+        while (!this->uploads.empty() && now > this->uploads.front().askedAt + kUploadLimit)
+            this->uploads.pop_front();
+        if (this->uploads.empty())
+            return;
+        this->isUploading = true;
+        const Upload upload = this->uploads.front();
+        this->uploads.pop_front();
+        this->sendPiece(upload.link, upload.request);
+        const double rate = this->settings.linkMbps * kUploadShare / 8 * 1000; // bytes a millisecond
+        const double bytes = static_cast<double>(upload.request.size);
+        const FloatMilliseconds pause(rate > 0 ? bytes / rate : 0.0);
+        this->uploadTimer.expires_after(std::chrono::ceil<std::chrono::microseconds>(pause));
+        this->uploadTimer.async_wait([this](const std::error_code &error) {
+            if (error)
+                return;
+            this->isUploading = false;
+            this->uploadNext();
+        });
+    }
+
+    void sendPiece(const LinkPtr &link, const BlockRequest &request)
     {
         const auto refuse = [link, request] {
             link->send(BlockReply{ .version = request.version, .chunk = request.chunk });
@@ -739,6 +790,15 @@
         }
     }
 
+    /// A peer's request for a piece.
+    struct Upload
+    {
+        LinkPtr link;
+        BlockRequest request;
+        TimePoint askedAt;
+        bool isRemote{ false };
+    };
+
     struct Pending
     {
         CallResult result;
@@ -754,6 +814,9 @@
     LinkHub hub;
     ViewReader reader;
     HttpPool calls;
+    asio::steady_timer uploadTimer;
+    std::deque<Upload> uploads;
+    bool isUploading{ false };
     Staging staging;
     Endpoint engine;
     std::set<std::shared_ptr<Pending>> pending;
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -22,6 +22,8 @@
 /// own zone until a few are in flight there.
 constexpr FloatMilliseconds kPlainLoad{ 3 };
 constexpr FloatMilliseconds kPlainSpread{ 2 };
+/// A path whose round trip is longer is narrow, lossy or broken.
+constexpr Milliseconds kUsualRoundTrip = 40ms;
 /// What a prediction is raised by where the upstream has not been heard of late.
 constexpr Milliseconds kQuietPenalty = 10s;
 
@@ -88,6 +90,13 @@
         upstream.sent.pop_front();
 }
 
+void UpstreamChoice::setRoundTrip(const std::string &endpoint, Duration roundTrip)
+{
+    const auto found = this->byEndpoint.find(endpoint);
+    if (found != this->byEndpoint.end())
+        this->upstreams[found->second].roundTrip = roundTrip;
+}
+
 void UpstreamChoice::setZonesOut(const std::vector<std::string> &zones)
 {
     this->zonesOut = { zones.begin(), zones.end() };
@@ -96,12 +105,13 @@
 Choice UpstreamChoice::choose(const ChoiceQuery &query, TimePoint now)
 {
     // Step 1. Those that may take the request at all.
+    const std::uint64_t leastVersion = this->leastVersion(query, now);
     std::vector<Candidate> candidates;
     std::vector<Candidate> failing;
     Choice choice{ .problem = NoChoice::unknown, .retryAfter = kLongestRetry };
     for (auto &[id, upstream] : this->upstreams) {
         if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
-            || !this->servesVersion(upstream, query, now))
+            || !this->servesVersion(upstream, query, leastVersion, now))
             continue;
         choice.problem = NoChoice::failing;
         choice.retryAfter = kLeastRetry * 5;
@@ -171,9 +181,22 @@
     return upstream.noticed && now - upstream.noticedAt < this->options.noticeLimit;
 }
 
+/// The version that a request needs: the preferred one where an engine has it.
+std::uint64_t UpstreamChoice::leastVersion(const ChoiceQuery &query, TimePoint now) const
+{
+    if (query.preferredVersion <= query.leastVersion)
+        return query.leastVersion;
+    const bool isThere = std::ranges::any_of(this->upstreams, [&](const auto &each) {
+        return each.second.record.service == query.service
+               && this->isAllowed(each.second, query)
+               && this->servesVersion(each.second, query, query.preferredVersion, now);
+    });
+    return isThere ? query.preferredVersion : query.leastVersion;
+}
+
 /// True where an engine holds the weights that are wanted.
 bool UpstreamChoice::servesVersion(const Upstream &upstream, const ChoiceQuery &query,
-                                   TimePoint now) const
+                                   std::uint64_t leastVersion, TimePoint now) const
 {
     if (query.plan == nullptr || !query.plan->engine)
         return true;
@@ -181,7 +204,7 @@
     if (isNoticed && !upstream.notice.isUsable)
         return false;
     const std::uint64_t version = isNoticed ? upstream.notice.version : upstream.record.version;
-    return version > 0 && version >= query.leastVersion
+    return version > 0 && version >= leastVersion
            && (query.exactVersion == 0 || version == query.exactVersion);
 }
 
@@ -215,6 +238,8 @@
     }
     load.queued += this->outliers.penalty(id, now);
     FloatMilliseconds expected = model.firstToken(load, query.promptTokens);
+    if (upstream.roundTrip > kUsualRoundTrip)
+        expected += upstream.roundTrip;
     if (upstream.record.zone != this->options.zone)
         expected += this->options.farther;
     if (upstream.record.isQuiet)
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -33,6 +33,7 @@
     std::set<std::string> excluded;          ///< upstreams that have failed the request
     std::uint64_t leastVersion{ 0 };         ///< of the weights
     std::uint64_t exactVersion{ 0 };         ///< of the weights, 0 for any
+    std::uint64_t preferredVersion{ 0 }; ///< of the weights; older only where none has it
     std::optional<Milliseconds> firstWithin; ///< a later first token is of no use
     bool mayRunTwice{ true };
 };
@@ -76,6 +77,10 @@
     /// Takes what the stager beside an engine says of it.
     void onNotice(const LoadNotice &notice, TimePoint now);
 
+    /// Sets the time that a message to an engine's machine takes there and back;
+    /// a narrow or broken path shows in it.
+    void setRoundTrip(const std::string &endpoint, Duration roundTrip);
+
     /// Sets the zones whose upstreams get nothing new.
     void setZonesOut(const std::vector<std::string> &zones);
 
@@ -110,6 +115,7 @@
         LoadNotice notice;
         TimePoint noticedAt;
         bool noticed{ false };
+        Duration roundTrip{ 0 };
         std::uint32_t inFlight{ 0 }; ///< own requests there
         std::deque<Sent> sent;       ///< own requests of the last second
         TimePoint refusedUntil;
@@ -125,7 +131,9 @@
 
     bool isAllowed(const Upstream &upstream, const ChoiceQuery &query) const;
     bool isColdFull(Upstream &upstream, const ChoiceQuery &query, TimePoint now) const;
-    bool servesVersion(const Upstream &upstream, const ChoiceQuery &query, TimePoint now) const;
+    std::uint64_t leastVersion(const ChoiceQuery &query, TimePoint now) const;
+    bool servesVersion(const Upstream &upstream, const ChoiceQuery &query,
+                       std::uint64_t leastVersion, TimePoint now) const;
     bool isNoticed(const Upstream &upstream, TimePoint now) const;
     Candidate weighEngine(const std::string &id, Upstream &upstream, const ChoiceQuery &query,
                           TimePoint now) const;
