--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -296,7 +296,7 @@
 {
     const auto found = this->greetings.find(endpoint);
     if (found == this->greetings.end() || this->member(found->second.folder) != nullptr
-        || found->second.cluster != 0)
+        || (found->second.cluster != 0 && found->second.cluster != this->disk.cluster))
         return false;
     QuorumMembers changed = this->members();
     changed.members.push_back(
@@ -338,23 +338,49 @@
             }
         }
     }
-    this->addGreeters(now);
+    if (this->options.wantedVoters > 0 && !this->removeSilent(now))
+        this->addGreeters(now);
+}
+
+/// True for a voter that has not answered for so long that it counts as lost.
+bool Quorum::isSilent(const QuorumMember &each, TimePoint now) const
+{
+    const auto known = this->progress.find(each.folder);
+    return each.voter && each.folder != this->disk.folder && known != this->progress.end()
+           && now > known->second.heardAt + this->options.replaceAfter;
+}
+
+/// Removes a silent voter once there are more voters than wanted without it.
+bool Quorum::removeSilent(TimePoint now)
+{
+    const auto &known = this->members().members;
+    const auto voters = std::ranges::count_if(known, [](const auto &each) { return each.voter; });
+    if (static_cast<std::size_t>(voters) <= this->options.wantedVoters)
+        return false;
+    const auto silent = std::ranges::find_if(
+            known, [&](const QuorumMember &each) { return this->isSilent(each, now); });
+    return silent != known.end() && this->removeMember(now, silent->folder);
 }
 
 /// Adds one instance that greets with a folder of no member: in place of a
-/// member of its address whose folder is lost, or while voters are wanted.
+/// member of its address whose folder is lost, while voters are wanted, or to
+/// take the place of a silent one. Only a fresh folder counts as a replacement
+/// of its address: one of this group that was removed is as good as any other.
 void Quorum::addGreeters(TimePoint now)
 {
-    if (this->options.wantedVoters == 0)
-        return;
     const auto &known = this->members().members;
+    const bool isOneSilent = std::ranges::any_of(
+            known, [&](const QuorumMember &each) { return this->isSilent(each, now); });
+    const std::size_t places = this->options.wantedVoters + (isOneSilent ? 1 : 0);
     for (const auto &[endpoint, greeting] : this->greetings) {
-        const bool isFresh = now <= greeting.at + kGreetingValid;
-        if (!isFresh || greeting.cluster != 0 || this->member(greeting.folder) != nullptr)
+        if (now > greeting.at + kGreetingValid || this->member(greeting.folder) != nullptr)
             continue;
-        const bool isReplacement = std::ranges::any_of(
-                known, [&](const QuorumMember &each) { return each.endpoint == endpoint; });
-        if (!isReplacement && known.size() >= this->options.wantedVoters)
+        const bool isReplacement =
+                greeting.cluster == 0
+                && std::ranges::any_of(known, [&](const QuorumMember &each) {
+                       return each.endpoint == endpoint;
+                   });
+        if (!isReplacement && known.size() >= places)
             continue;
         if (this->addMember(now, endpoint))
             return;
@@ -375,7 +401,8 @@
     std::erase_if(this->progress,
                   [&](const auto &each) { return this->member(each.first) == nullptr; });
     for (const QuorumMember &to : members.members) {
-        this->progress.try_emplace(to.folder, Progress{ .next = this->lastIndex() + 1 });
+        this->progress.try_emplace(to.folder,
+                                   Progress{ .next = this->lastIndex() + 1, .heardAt = now });
         this->replicate(to.folder);
     }
     this->advanceCommit(now);
@@ -509,7 +536,8 @@
     this->progress.clear();
     this->roundTimes.clear();
     for (const QuorumMember &each : this->members().members)
-        this->progress[each.folder] = Progress{ .next = this->lastIndex() + 1 };
+        this->progress[each.folder] =
+                Progress{ .next = this->lastIndex() + 1, .heardAt = now };
     this->roundTimes[this->round] = now;
     for (auto &[folder, follower] : this->progress)
         follower.round = this->round;
@@ -714,6 +742,7 @@
         || found == this->progress.end() || reply.round > this->round)
         return;
     Progress &follower = found->second;
+    follower.heardAt = now;
     if (reply.success) {
         follower.match = std::max(follower.match, std::min(reply.index, this->lastIndex()));
         follower.next = std::max(follower.next, follower.match + 1);
@@ -773,13 +802,14 @@
     this->send(from.endpoint, reply);
 }
 
-void Quorum::on(TimePoint, const SnapshotReply &reply)
+void Quorum::on(TimePoint now, const SnapshotReply &reply)
 {
     const auto found = this->progress.find(reply.header.folder);
     if (this->role != Role::leader || reply.header.term != this->disk.term
         || found == this->progress.end() || reply.round > this->round)
         return;
     Progress &follower = found->second;
+    follower.heardAt = now;
     this->noteRound(reply.header.folder, reply.round);
     if (reply.lastIndex != this->disk.snapshot.index || this->role != Role::leader)
         return;
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -24,6 +24,7 @@
     std::vector<std::string> controls; ///< addresses that form the group; the first one forms it
     bool mayForm{ true };          ///< false: an empty folder only waits to be added
     std::size_t wantedVoters{ 0 }; ///< the leader adds instances that greet up to this number
+    Milliseconds replaceAfter{ 6s }; ///< silence of a voter after which another may take its place
     Milliseconds heartbeat{ 100 };
     Milliseconds electionLeast{ 800 };  ///< no vote is given for so long after hearing a leader
     Milliseconds electionSpread{ 800 }; ///< random time added to the above before a campaign
@@ -123,7 +124,7 @@
     void read(TimePoint now, std::uint64_t id);
 
     /// Adds the instance that greeted from `endpoint` with a data folder that
-    /// is no member, as a learner. It becomes a voter once it has caught up,
+    /// is no member, as a learner: a fresh one, or one that was removed before. It becomes a voter once it has caught up,
     /// and then replaces a voter of the same endpoint. False when this member
     /// does not lead, knows no such instance or a change is under way.
     bool addMember(TimePoint now, const std::string &endpoint);
@@ -169,6 +170,7 @@
         std::uint64_t match{ 0 };
         std::uint64_t round{ 0 };
         std::uint64_t snapshotOffset{ 0 };
+        TimePoint heardAt;
     };
     struct PendingRead
     {
@@ -199,6 +201,8 @@
     void adoptGroup(std::uint64_t cluster, const QuorumMembers &members);
     void manageMembers(TimePoint now);
     void addGreeters(TimePoint now);
+    bool removeSilent(TimePoint now);
+    bool isSilent(const QuorumMember &each, TimePoint now) const;
     bool changeMembers(TimePoint now, const QuorumMembers &members);
     bool mayChangeMembers() const;
     const QuorumMember *member(std::uint64_t folder) const;
--- a/src/quorum_log.cpp
+++ b/src/quorum_log.cpp
@@ -10,6 +10,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <cstring>
@@ -97,6 +98,7 @@
         this->memory.snapshot.members = record.members;
     }
     void take(const QuorumSnapshotBytes &record) { this->state += record.bytes; }
+    void take(const QuorumSyncPoint &) {}
 
     QuorumMemory finish()
     {
@@ -180,8 +182,10 @@
                 { { "path", this->path }, { "at", end }, { "bytes", content->size() - end } });
         if (ftruncate(this->file, static_cast<off_t>(end)) != 0)
             endProcess(this->path, "ftruncate");
-        this->sync();
     }
+    // What was read may not all be on disk yet.
+    this->syncFile();
+    this->size = end;
     this->appended = end;
     return memory;
 }
@@ -212,6 +216,9 @@
             break;
         const auto record = state == RecordState::whole ? decode<QuorumRecord>(bytes)
                                                         : std::optional<QuorumRecord>{};
+        // Of writes that a loss of power overtook, any may be missing.
+        if (!record && !wasSynced(content, end))
+            break;
         if (!record)
             return fail(reason, QuorumLogError::corrupt,
                         this->path + " is damaged at byte " + std::to_string(end)
@@ -228,6 +235,24 @@
     return builder.finish();
 }
 
+/// True when a later record says that the bytes at `at` were on disk.
+bool QuorumLog::wasSynced(const std::string &content, std::size_t at)
+{
+    const auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    std::string bytes;
+    for (std::size_t from = at + 1; from + kHeadBytes <= content.size(); ++from) {
+        const std::string_view head = std::string_view(content).substr(from, kHeadBytes);
+        if (!std::ranges::all_of(head, isDigit)
+            || readRecord(content, from, bytes) != RecordState::whole)
+            continue;
+        const auto record = decode<QuorumRecord>(bytes);
+        const auto *point = record ? std::get_if<QuorumSyncPoint>(&*record) : nullptr;
+        if (point != nullptr && point->bytes > at)
+            return true;
+    }
+    return false;
+}
+
 void QuorumLog::append(const std::vector<QuorumRecord> &records)
 {
     std::string bytes;
@@ -235,9 +260,17 @@
         bytes += frameRecord(record);
     writeAll(this->file, this->path, bytes);
     this->appended += bytes.size();
+    this->size += bytes.size();
 }
 
 void QuorumLog::sync()
+{
+    this->syncFile();
+    // Tells a later start that damage before this point is no torn write.
+    this->append({ QuorumSyncPoint{ .bytes = this->size } });
+}
+
+void QuorumLog::syncFile()
 {
     if (fdatasync(this->file) != 0)
         endProcess(this->path, "fdatasync");
@@ -280,6 +313,7 @@
         close(this->file);
     this->file = handle;
     this->appended = 0;
+    this->size = bytes.size();
 }
 
 } // namespace egret
--- a/src/quorum_log.h
+++ b/src/quorum_log.h
@@ -13,7 +13,7 @@
     unusable, ///< the operating system refuses
     inUse,    ///< another process holds the folder
     foreign,  ///< the folder was made for another address
-    corrupt,  ///< a record before the last one is damaged
+    corrupt,  ///< a record that was on disk is damaged
 };
 
 /// The log file of a quorum member: records with checksums in one file that is
@@ -27,8 +27,9 @@
     QuorumLog(const QuorumLog &) = delete;
     QuorumLog &operator=(const QuorumLog &) = delete;
 
-    /// Opens the log or makes a new one. A torn last record is cut off; damage
-    /// before it is refused. Call once, first.
+    /// Opens the log or makes a new one. What was not on disk for sure and is
+    /// damaged is cut off with all that follows; damage before that is refused.
+    /// Call once, first.
     std::optional<QuorumMemory> open(Reason<QuorumLogError> &reason);
 
     /// True when `open` made the data folder's log.
@@ -52,6 +53,8 @@
     bool lockFolder(Reason<QuorumLogError> &reason);
     std::optional<QuorumMemory> replay(const std::string &content, std::size_t &end,
                                        Reason<QuorumLogError> &reason) const;
+    void syncFile();
+    static bool wasSynced(const std::string &content, std::size_t at);
 
     std::string folder;
     std::string endpoint;
@@ -60,6 +63,7 @@
     int file{ -1 };
     bool fresh{ false };
     std::uint64_t appended{ 0 };
+    std::uint64_t size{ 0 }; ///< bytes of the file
 };
 
 } // namespace egret
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds kReportTimeout = 500ms;
 /// An unchanged notice is repeated so that gateways know it is still true.
 constexpr Milliseconds kNoticeRepeat = 500ms;
+/// Gateways of other regions, over thin links, hear of load this often at most.
+constexpr Milliseconds kRemoteNoticePeriod = 300ms;
 constexpr Milliseconds kStagingTick = 20ms;
 constexpr Milliseconds kPeersPeriod = 200ms;
 constexpr Milliseconds kLocalTimeout = 1s;
@@ -288,17 +290,21 @@
             notice.memoryTotal = this->report->memoryTotal;
             notice.pace = this->report->pace;
         }
+        const bool isUrgent = notice.isUsable != this->lastNotice.isUsable
+                              || notice.version != this->lastNotice.version;
+        const bool isChanged = isUrgent || notice.queued != this->lastNotice.queued
+                               || notice.active != this->lastNotice.active;
+        this->lastNotice = notice;
         const TimePoint now = bootNow();
-        const bool isSame = notice.isUsable == this->told.isUsable
-                            && notice.version == this->told.version
-                            && notice.queued == this->told.queued
-                            && notice.active == this->told.active;
-        if (isSame && now < this->toldAt + kNoticeRepeat)
-            return;
-        this->told = notice;
-        this->toldAt = now;
-        for (const LinkPtr &link : this->gateways)
+        for (auto &[link, reader] : this->gateways) {
+            reader.isDue = reader.isDue || isChanged;
+            const Milliseconds least = reader.isRemote ? kRemoteNoticePeriod : 0ms;
+            const bool isTime = reader.isDue && now >= reader.toldAt + least;
+            if (!isUrgent && !isTime && now < reader.toldAt + kNoticeRepeat)
+                continue;
             link->send(notice);
+            reader = { .isRemote = reader.isRemote, .toldAt = now };
+        }
     }
 
     // Staging.
@@ -785,8 +791,9 @@
             std::exchange(each->done, nullptr)(each->result);
         }
         for (const LinkPtr &link : this->hub.peers(Role::entry)) {
-            if (this->gateways.insert(link).second)
-                link->send(this->told);
+            const bool isRemote = link->peer().region != this->settings.region;
+            if (this->gateways.try_emplace(link, NoticeReader{ .isRemote = isRemote }).second)
+                link->send(this->lastNotice);
         }
     }
 
@@ -799,6 +806,14 @@
         bool isRemote{ false };
     };
 
+    /// A gateway that hears how the engine stands.
+    struct NoticeReader
+    {
+        bool isRemote{ false }; ///< in another region
+        bool isDue{ false };    ///< something changed since it was told
+        TimePoint toldAt;
+    };
+
     struct Pending
     {
         CallResult result;
@@ -820,7 +835,7 @@
     Staging staging;
     Endpoint engine;
     std::set<std::shared_ptr<Pending>> pending;
-    std::set<LinkPtr> gateways;
+    std::map<LinkPtr, NoticeReader> gateways;
 
     std::uint64_t documentNumber{ 0 };
     std::optional<EngineSpec> spec;
@@ -828,8 +843,7 @@
     std::optional<EngineReport> report;
     bool isReading{ false };
     bool isOrdering{ false };
-    LoadNotice told;
-    TimePoint toldAt;
+    LoadNotice lastNotice;
 
     std::vector<std::string> digests; ///< of the target version's pieces
     std::uint64_t stagedVersion{ 0 }; ///< last version of which this process staged pieces
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -145,8 +145,9 @@
     const bool isPlain = query.plan == nullptr || !query.plan->engine;
     const FloatMilliseconds spread =
             isPlain ? kPlainSpread : FloatMilliseconds(this->options.spread);
+    const auto cheapest = std::ranges::min(candidates, {}, &Candidate::cost).cost;
     for (Candidate &candidate : candidates) {
-        const double behind = (candidate.expected - quickest) / spread;
+        const double behind = (candidate.cost - cheapest) / spread;
         candidate.weight = std::exp(-behind);
     }
     const Candidate &best = this->draw(candidates);
@@ -240,14 +241,14 @@
     FloatMilliseconds expected = model.firstToken(load, query.promptTokens);
     if (upstream.roundTrip > kUsualRoundTrip)
         expected += upstream.roundTrip;
-    if (upstream.record.zone != this->options.zone)
-        expected += this->options.farther;
     if (upstream.record.isQuiet)
         expected += kQuietPenalty;
+    const bool isFar = upstream.record.zone != this->options.zone;
     return { .id = &id,
              .upstream = &upstream,
              .load = load.active + load.queued,
-             .expected = expected };
+             .expected = expected,
+             .cost = expected + FloatMilliseconds(isFar ? this->options.farther : 0ms) };
 }
 
 /// A plain service tells nothing of its load: own requests there count.
@@ -257,10 +258,14 @@
     const double load = upstream.inFlight + this->outliers.penalty(id, now);
     FloatMilliseconds expected = load * kPlainLoad;
     if (upstream.record.zone != this->options.zone)
-        expected += this->options.farther;
+        expected += this->options.plainFarther;
     if (upstream.record.isQuiet)
         expected += kQuietPenalty;
-    return { .id = &id, .upstream = &upstream, .load = load, .expected = expected };
+    return { .id = &id,
+             .upstream = &upstream,
+             .load = load,
+             .expected = expected,
+             .cost = expected };
 }
 
 /// Draws by weight.
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -18,7 +18,10 @@
     std::map<std::string, std::string> regions; ///< of availability zones
     double connectionShare{ 0.9 }; ///< of an upstream's connections, used by all gateways
     Milliseconds noticeLimit{ 1500ms }; ///< age from which a load notice tells nothing
-    Milliseconds farther{ 6ms };        ///< what a farther zone costs: there and back
+    /// What another zone costs: more than its way there and back, since links
+    /// between regions are thin and notices from there are older.
+    Milliseconds farther{ 50ms };
+    Milliseconds plainFarther{ 6ms }; ///< the same for plain services: the way alone
     Milliseconds spread{ 40ms };        ///< differences in prediction that count little
 };
 
@@ -125,7 +128,8 @@
         const std::string *id{ nullptr };
         Upstream *upstream{ nullptr };
         double load{ 0 };
-        FloatMilliseconds expected{ 0 };
+        FloatMilliseconds expected{ 0 }; ///< to the first token
+        FloatMilliseconds cost{ 0 };     ///< with what speaks against it besides
         double weight{ 0 };
     };
 
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -114,3 +114,34 @@
     const auto stands = state.read({ .environment = "e", .stage = Stage::production });
     RC_ASSERT(stands.revision == production);
 }
+
+TEST(ControlState, TheHighestNumberOfATextStands)
+{
+    ControlState state;
+    const auto put = [&](std::uint64_t index, std::uint64_t number, const std::string &text) {
+        return state.apply({ .term = 1, .index = index },
+                           PutNumbered{ .text = { .name = "d", .number = number, .text = text } });
+    };
+    EXPECT_TRUE(put(1, 4, "four").accepted);
+    EXPECT_EQ(put(2, 3, "three").revision, 4U);
+    EXPECT_EQ(put(3, 4, "other four").revision, 4U);
+    EXPECT_EQ(state.query(ReadNumbered{ .name = "d" })->text, "four");
+    EXPECT_EQ(state.operatorState().index, 1U);
+    EXPECT_EQ(put(4, 9, "nine").revision, 9U);
+    EXPECT_EQ(state.operatorState().index, 4U);
+    EXPECT_FALSE(state.query(ReadNumbered{ .name = "none" })->accepted);
+    ControlState restored;
+    restored.restore(*decode<ControlSnapshot>(encode(state.snapshot())));
+    EXPECT_EQ(restored.operatorState(), state.operatorState());
+}
+
+TEST(ControlState, AZoneIsTakenOutAndBackOnce)
+{
+    ControlState state;
+    state.apply({ .term = 1, .index = 1 }, SetZoneOut{ .zone = "a", .isOut = true });
+    state.apply({ .term = 1, .index = 2 }, SetZoneOut{ .zone = "a", .isOut = true });
+    EXPECT_EQ(state.operatorState().zonesOut, std::vector<std::string>{ "a" });
+    EXPECT_EQ(state.operatorState().index, 1U);
+    state.apply({ .term = 1, .index = 3 }, SetZoneOut{ .zone = "a", .isOut = false });
+    EXPECT_TRUE(state.operatorState().zonesOut.empty());
+}
--- /dev/null
+++ b/tests/http_front_test.cpp
@@ -0,0 +1,185 @@
+#include "http_front.h"
+#include "http_pool.h"
+
+#include "loopback.h"
+#include "worker_pool.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+using namespace egret;
+
+namespace {
+
+constexpr Seconds kTestLimit{ 5 };
+
+/// A front on loopback whose requests the test answers.
+class HttpFrontTest : public testing::Test
+{
+protected:
+    HttpFrontTest() : pool(1)
+    {
+        this->address = freeLoopback("127.0.0.1");
+        this->onThread([this] {
+            this->front = std::make_unique<HttpFront>(
+                    this->pool.context(),
+                    HttpFrontOptions{ .listen = this->address,
+                                      .bounds = { .maxHeadBytes = 1024,
+                                                  .maxBodyBytes = 64,
+                                                  .headTimeout = 300ms,
+                                                  .idleTimeout = 1s } },
+                    [this](HttpRequest &&request, const FrontReplyPtr &reply) {
+                        ++this->handled;
+                        this->handler(std::move(request), reply);
+                    });
+            Reason<std::error_code> reason;
+            this->started = this->front->start(reason);
+        });
+    }
+
+    ~HttpFrontTest() override
+    {
+        this->onThread([this] { this->front.reset(); });
+        this->pool.stop();
+    }
+
+    void onThread(const std::function<void()> &work)
+    {
+        std::promise<void> done;
+        asio::post(this->pool.context(), [&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(this->clientContext);
+        socket.connect({ asio::ip::make_address(this->address.address), this->address.port });
+        return socket;
+    }
+
+    /// Sends bytes and reads until the connection ends or `until` has come.
+    std::string exchange(asio::ip::tcp::socket &socket, const std::string &bytes,
+                         const std::string &until = "")
+    {
+        asio::write(socket, asio::buffer(bytes));
+        std::string read;
+        std::error_code error;
+        std::array<char, 512> part{};
+        while (until.empty() || read.find(until) == std::string::npos) {
+            const std::size_t size = socket.read_some(asio::buffer(part), error);
+            if (error)
+                break;
+            read.append(part.data(), size);
+        }
+        return read;
+    }
+
+    std::string once(const std::string &bytes)
+    {
+        auto socket = this->connect();
+        return this->exchange(socket, bytes);
+    }
+
+    WorkerPool pool;
+    asio::io_context clientContext;
+    Endpoint address;
+    std::unique_ptr<HttpFront> front;
+    bool started{ false };
+    std::atomic<int> handled{ 0 };
+    std::function<void(HttpRequest &&, const FrontReplyPtr &)> handler =
+            [](HttpRequest &&request, const FrontReplyPtr &reply) {
+                reply->send(200, "text/plain", request.body, {});
+            };
+};
+
+} // namespace
+
+TEST_F(HttpFrontTest, EveryFaultHasItsStatus)
+{
+    ASSERT_TRUE(this->started);
+    EXPECT_TRUE(this->once("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 400 Bad Request"));
+    EXPECT_TRUE(this->once("BREW / HTTP/1.1\r\nHost: a\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(this->once("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x'))
+                        .starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(this->once("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n")
+                        .starts_with("HTTP/1.1 413"));
+    EXPECT_TRUE(this->once("GET / HTTP/1.1\r\nHost").starts_with("HTTP/1.1 408"));
+    EXPECT_EQ(this->handled, 0);
+}
+
+TEST_F(HttpFrontTest, AskedToContinueItSaysSo)
+{
+    auto socket = this->connect();
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                             "Expect: 100-continue\r\n\r\n";
+    EXPECT_EQ(this->exchange(socket, head, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    EXPECT_TRUE(this->exchange(socket, "ok", "ok").starts_with("HTTP/1.1 200 OK"));
+}
+
+TEST_F(HttpFrontTest, RequestsFollowEachOtherOnOneConnection)
+{
+    auto socket = this->connect();
+    const std::string first = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1";
+    const std::string second = "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "1\r\n2\r\n0\r\n\r\n";
+    const std::string read = this->exchange(socket, first + second, "\r\n\r\n2");
+    EXPECT_NE(read.find("\r\n\r\n1HTTP/1.1 200"), std::string::npos) << read;
+}
+
+TEST_F(HttpFrontTest, AStreamThatIsBrokenOffDoesNotLookComplete)
+{
+    this->handler = [](HttpRequest &&, const FrontReplyPtr &reply) {
+        reply->start(200, "text/event-stream", {});
+        reply->write("id: 1\n\n");
+        reply->abort();
+    };
+    EXPECT_EQ(this->once("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(HttpFrontTest, NoticesAClientThatLeaves)
+{
+    std::promise<void> gone;
+    FrontReplyPtr kept;
+    this->handler = [&](HttpRequest &&, const FrontReplyPtr &reply) {
+        kept = reply;
+        reply->onGone([&gone] { gone.set_value(); });
+    };
+    {
+        auto socket = this->connect();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        while (this->handled == 0)
+            std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_EQ(gone.get_future().wait_for(kTestLimit), std::future_status::ready);
+    this->onThread([&] { kept.reset(); });
+}
+
+TEST_F(HttpFrontTest, AReplyThatIsDroppedClosesTheConnection)
+{
+    this->handler = [](HttpRequest &&, const FrontReplyPtr &) {};
+    EXPECT_EQ(this->once("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "");
+}
+
+TEST_F(HttpFrontTest, AStoppingFrontAsksToCloseAndThenClosesIdleConnections)
+{
+    auto idle = this->connect();
+    this->exchange(idle, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "\r\n\r\n");
+    this->onThread([this] { this->front->refuseReuse(); });
+    EXPECT_NE(this->once("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("Connection: close"),
+              std::string::npos);
+    this->onThread([this] { this->front->closeIdle(); });
+    std::array<char, 1> byte{};
+    std::error_code error;
+    idle.read_some(asio::buffer(byte), error);
+    EXPECT_EQ(error, asio::error::eof);
+}
--- /dev/null
+++ b/tests/http_pool_test.cpp
@@ -0,0 +1,193 @@
+#include "http_pool.h"
+
+#include "loopback.h"
+#include "worker_pool.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+using namespace egret;
+
+namespace {
+
+constexpr Seconds kTestLimit{ 5 };
+
+struct Ended
+{
+    CallEnd end;
+    int status{ 0 };
+    std::string body;
+};
+
+/// A pool against a server that a script plays, one connection after the other.
+class HttpPoolTest : public testing::Test
+{
+protected:
+    HttpPoolTest() : pool(1), acceptor(this->serverContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        this->onThread([this] { this->calls = std::make_unique<HttpPool>(this->pool.context()); });
+    }
+
+    ~HttpPoolTest() override
+    {
+        this->onThread([this] { this->calls.reset(); });
+        this->pool.stop();
+        if (this->server.joinable())
+            this->server.join();
+    }
+
+    void onThread(const std::function<void()> &work)
+    {
+        std::promise<void> done;
+        asio::post(this->pool.context(), [&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    Endpoint endpoint() const
+    {
+        return { .address = "127.0.0.1", .port = this->acceptor.local_endpoint().port() };
+    }
+
+    /// Answers the requests of each connection with the script's texts in turn;
+    /// after an empty text the connection is closed.
+    void play(std::vector<std::vector<std::string>> connections)
+    {
+        this->server = std::thread([this, connections = std::move(connections)] {
+            for (const auto &answers : connections) {
+                asio::ip::tcp::socket socket(this->serverContext);
+                this->acceptor.accept(socket);
+                ++this->accepted;
+                for (const std::string &answer : answers) {
+                    std::string read;
+                    std::error_code error;
+                    asio::read_until(socket, asio::dynamic_buffer(read), "\r\n\r\n", error);
+                    if (error || answer.empty())
+                        break;
+                    ++this->requests;
+                    asio::write(socket, asio::buffer(answer), error);
+                }
+            }
+        });
+    }
+
+    Ended call(bool mayRunTwice = true)
+    {
+        std::promise<Ended> done;
+        auto ended = std::make_shared<Ended>();
+        this->onThread([&] {
+            this->calls->start({
+                    .to = this->endpoint(),
+                    .head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                    .mayRunTwice = mayRunTwice,
+                    .isOurs =
+                            [](const HttpHead &head) {
+                                return headerValue(head.headers, "Id") != "other";
+                            },
+                    .onHead = [ended](const HttpHead &head) { ended->status = head.status; },
+                    .onBody = [ended](std::string &&part) { ended->body += part; },
+                    .onEnd =
+                            [ended, &done](const CallEnd &end) {
+                                ended->end = end;
+                                done.set_value(*ended);
+                            },
+            });
+        });
+        auto future = done.get_future();
+        if (future.wait_for(kTestLimit) != std::future_status::ready)
+            return { .end = { .outcome = CallOutcome::broken, .detail = "no end" } };
+        return future.get();
+    }
+
+    WorkerPool pool;
+    asio::io_context serverContext;
+    asio::ip::tcp::acceptor acceptor;
+    std::unique_ptr<HttpPool> calls;
+    std::thread server;
+    std::atomic<int> accepted{ 0 };
+    std::atomic<int> requests{ 0 };
+};
+
+const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_F(HttpPoolTest, KeepsAConnectionForTheNextCall)
+{
+    this->play({ { kAnswer, kAnswer } });
+    EXPECT_EQ(this->call().body, "ok");
+    EXPECT_EQ(this->call().body, "ok");
+    EXPECT_EQ(this->accepted, 1);
+}
+
+TEST_F(HttpPoolTest, NeverSendsARequestAgainByItself)
+{
+    this->play({ { "" } });
+    const Ended ended = this->call();
+    EXPECT_EQ(ended.end.outcome, CallOutcome::broken);
+    EXPECT_EQ(this->accepted, 1);
+}
+
+TEST_F(HttpPoolTest, AServerThatDoesNotListenWasNotSentTo)
+{
+    this->acceptor.close();
+    const Endpoint closed = freeLoopback("127.0.0.1");
+    std::promise<CallEnd> done;
+    this->onThread([&] {
+        this->calls->start({ .to = closed,
+                             .head = "GET / HTTP/1.1\r\n\r\n",
+                             .onEnd = [&done](const CallEnd &end) { done.set_value(end); } });
+    });
+    EXPECT_EQ(done.get_future().get().outcome, CallOutcome::unsent);
+}
+
+TEST_F(HttpPoolTest, ALateAnswerToAnotherRequestIsSkipped)
+{
+    this->play({ { "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong" + kAnswer } });
+    const Ended ended = this->call();
+    EXPECT_EQ(ended.end.outcome, CallOutcome::whole);
+    EXPECT_EQ(ended.body, "ok");
+}
+
+TEST_F(HttpPoolTest, BytesAfterAWholeAnswerEndTheConnection)
+{
+    this->play({ { kAnswer + "HTTP/1.1 200 OK\r\n" }, { kAnswer } });
+    EXPECT_EQ(this->call().body, "ok");
+    EXPECT_EQ(this->call().body, "ok");
+    EXPECT_EQ(this->accepted, 2);
+}
+
+TEST_F(HttpPoolTest, ATruncatedAnswerIsBroken)
+{
+    this->play({ { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "" } });
+    std::promise<CallEnd> done;
+    this->onThread([&] {
+        this->calls->start({ .to = this->endpoint(),
+                             .head = "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+                             .onEnd = [&done](const CallEnd &end) { done.set_value(end); } });
+    });
+    EXPECT_EQ(done.get_future().get().outcome, CallOutcome::broken);
+}
+
+TEST_F(HttpPoolTest, GarbageIsNoAnswer)
+{
+    this->play({ { "garbage\r\n\r\n" } });
+    EXPECT_EQ(this->call().end.outcome, CallOutcome::malformed);
+}
+
+TEST_F(HttpPoolTest, AnActionGoesOnlyOverAConnectionThatWasUsedJustNow)
+{
+    this->play({ { kAnswer }, { kAnswer } });
+    EXPECT_EQ(this->call().body, "ok");
+    std::this_thread::sleep_for(900ms);
+    EXPECT_EQ(this->call(false).body, "ok");
+    EXPECT_EQ(this->accepted, 2);
+}
--- /dev/null
+++ b/tests/numbered_events_test.cpp
@@ -0,0 +1,73 @@
+#include "numbered_events.h"
+
+#include "fuzz.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace egret;
+
+namespace {
+
+std::string eventOf(std::uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+} // namespace
+
+TEST(NumberedEvents, ASplitEventWaitsForItsEnd)
+{
+    NumberedEvents events;
+    EXPECT_EQ(events.take("id: 1\nda"), "");
+    EXPECT_TRUE(events.isSplit());
+    EXPECT_EQ(events.take("ta: x\n\n"), eventOf(1));
+    EXPECT_FALSE(events.isSplit());
+    EXPECT_EQ(events.lastNumber(), 1U);
+}
+
+TEST(NumberedEvents, AResumedAttemptRepeatsNothing)
+{
+    NumberedEvents events;
+    events.take(eventOf(1) + eventOf(2) + "id: 3\nda");
+    events.begin();
+    EXPECT_EQ(events.take(eventOf(2) + eventOf(3)), eventOf(3));
+}
+
+TEST(NumberedEvents, AClientThatResumesGetsOnlyWhatItLacks)
+{
+    NumberedEvents events(12);
+    EXPECT_EQ(events.take(eventOf(12) + eventOf(13)), eventOf(13));
+}
+
+TEST(NumberedEvents, EventsWithoutANumberPass)
+{
+    NumberedEvents events;
+    EXPECT_EQ(events.take(": hello\n\n"), ": hello\n\n");
+    EXPECT_EQ(events.take("weight-versions: 2\nid: 4\r\n\r\n"), "weight-versions: 2\nid: 4\r\n\r\n");
+    EXPECT_EQ(events.lastNumber(), 4U);
+}
+
+/// Breaks anywhere, resumed after the last whole event, give each event once.
+TEST(NumberedEvents, FuzzedBreaksLoseAndRepeatNothing)
+{
+    fuzz([] {
+        const auto count = *rc::gen::inRange<std::uint64_t>(1, 20);
+        std::string expected;
+        for (std::uint64_t i = 1; i <= count; ++i)
+            expected += eventOf(i);
+        NumberedEvents events;
+        std::string passed;
+        while (events.lastNumber().value_or(0) < count) {
+            events.begin();
+            std::string rest;
+            for (std::uint64_t i = events.lastNumber().value_or(0) + 1; i <= count; ++i)
+                rest += eventOf(i);
+            const auto keep = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+            rest.resize(keep);
+            for (std::size_t at = 0; at < rest.size(); at += 7)
+                passed += events.take(rest.substr(at, 7));
+        }
+        RC_ASSERT(passed == expected);
+    });
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,171 @@
+#include "announcement.h"
+#include "configuration.h"
+#include "engine_words.h"
+#include "names.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace egret;
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json routeJson(const std::string &name, const std::string &prefix)
+{
+    return { { "name", name },        { "host", "h.example" },  { "pathPrefix", prefix },
+             { "kind", "idempotent" }, { "timeoutMs", 800 },     { "latencyGoalMs", 100 },
+             { "priority", 2 },        { "service", "core" },    { "maxAttempts", 2 },
+             { "public", false },      { "resumable", false },   { "allowedRegions", Json::array() } };
+}
+
+Json configJson()
+{
+    return { { "version", 7 },
+             { "routes", { routeJson("a", "/a/"), routeJson("ab", "/a/b/") } },
+             { "services",
+               { { { "name", "core" }, { "maxConnections", 51 }, { "unknownField", 1 } },
+                 { { "name", "origin" }, { "origin", "172.20.0.3:8006" }, { "maxConnections", 48 } } } },
+             { "limits", { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 },
+                           { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } },
+             { "tenants", { { { "name", "t" }, { "apiKeys", { "k1", "k2" } }, { "priority", 1 } } } } };
+}
+
+Json beatJson()
+{
+    return { { "service", "llm" }, { "address", "10.0.0.9:8080" }, { "zone", "a" },
+             { "version", "v1" },  { "slots", 16 },                { "state", "ready" },
+             { "coldRemainingMs", 1500 }, { "sequence", 4 },       { "born", 1700000000000ULL },
+             { "models", { { { "name", "m" }, { "version", 2 }, { "adapters", Json::array() } } } },
+             { "layers", { { { "source", 0 }, { "to", 16 }, { "version", 2 } } } } };
+}
+
+std::string faultOf(const Json &config)
+{
+    std::string problem;
+    const auto plan = platform::parsePlan(config.dump(), problem);
+    return plan ? planFault(*plan) : problem;
+}
+
+} // namespace
+
+TEST(PlatformConfiguration, IsReadInFull)
+{
+    std::string problem;
+    const auto plan = platform::parsePlan(configJson().dump(), problem);
+    ASSERT_TRUE(plan) << problem;
+    EXPECT_EQ(planFault(*plan), "");
+    EXPECT_EQ(plan->number, 7U);
+    EXPECT_EQ(plan->bounds.maxBodyBytes, 4194304U);
+    const PlanIndex index(*plan);
+    EXPECT_EQ(index.route("H.example:80", "/a/b/c")->name, "ab");
+    EXPECT_EQ(index.route("h.example", "/a/bc")->name, "a");
+    EXPECT_EQ(index.route("h.example", "/x"), nullptr);
+    EXPECT_EQ(index.customer("k2")->name, "t");
+    EXPECT_EQ(index.customer("k3"), nullptr);
+    EXPECT_EQ(index.service("origin")->origin->endpoint.port, 8006);
+}
+
+TEST(PlatformConfiguration, EverythingInvalidIsRefused)
+{
+    Json unknownService = configJson();
+    unknownService["routes"][0]["service"] = "none";
+    EXPECT_NE(faultOf(unknownService), "");
+    Json samePlace = configJson();
+    samePlace["routes"][1]["pathPrefix"] = "/a/";
+    EXPECT_NE(faultOf(samePlace), "");
+    Json noWeight = configJson();
+    noWeight["routes"][0]["weightedServices"] = { { { "service", "core" }, { "weight", 0 } } };
+    EXPECT_NE(faultOf(noWeight), "");
+    Json noTimeout = configJson();
+    noTimeout["routes"][0]["timeoutMs"] = 0;
+    EXPECT_NE(faultOf(noTimeout), "");
+    Json sharedKey = configJson();
+    sharedKey["tenants"].push_back({ { "name", "u" }, { "apiKeys", { "k1" } } });
+    EXPECT_NE(faultOf(sharedKey), "");
+    std::string problem;
+    const std::string text = configJson().dump();
+    EXPECT_FALSE(platform::parsePlan(text.substr(0, text.size() / 2), problem));
+    Json noRoutes = configJson();
+    noRoutes.erase("routes");
+    EXPECT_FALSE(platform::parsePlan(noRoutes.dump(), problem));
+}
+
+TEST(PlatformAnnouncement, IsReadAndChecked)
+{
+    std::string problem;
+    const auto record = platform::parseAnnouncement("i-1", beatJson().dump(), problem);
+    ASSERT_TRUE(record) << problem;
+    EXPECT_EQ(record->version, 2U);
+    EXPECT_EQ(record->model, "m");
+    EXPECT_EQ(record->coldFor, 1500ms);
+    for (const char *field : { "service", "address", "zone", "slots", "state", "sequence", "born" }) {
+        Json missing = beatJson();
+        missing.erase(field);
+        EXPECT_FALSE(platform::parseAnnouncement("i-1", missing.dump(), problem)) << field;
+        Json other = beatJson();
+        other[field] = Json::array();
+        EXPECT_FALSE(platform::parseAnnouncement("i-1", other.dump(), problem)) << field;
+    }
+    Json unknownState = beatJson();
+    unknownState["state"] = "resting";
+    EXPECT_FALSE(platform::parseAnnouncement("i-1", unknownState.dump(), problem));
+    EXPECT_FALSE(platform::parseAnnouncement("i-1", "\xff\xfe", problem));
+}
+
+TEST(PlatformAnnouncement, PartOfTheLayersIsNoVersion)
+{
+    Json beat = beatJson();
+    EXPECT_EQ(platform::wholeVersion(beat, 16), 2U);
+    EXPECT_EQ(platform::wholeVersion(beat, 17), 0U);
+    beat["layers"] = { { { "source", 0 }, { "to", 8 }, { "version", 2 } },
+                       { { "source", 9 }, { "to", 16 }, { "version", 2 } } };
+    EXPECT_EQ(platform::wholeVersion(beat, 16), 0U);
+    beat["layers"] = { { { "source", 0 }, { "to", 8 }, { "version", 1 } },
+                       { { "source", 8 }, { "to", 16 }, { "version", 2 } } };
+    EXPECT_EQ(platform::wholeVersion(beat, 16), 0U);
+    beat["layers"] = Json::array();
+    EXPECT_EQ(platform::wholeVersion(beat, 16), 0U);
+}
+
+TEST(PlatformHeaders, TheKeyStaysAndTheSystemsHeadersAreItsOwn)
+{
+    const HttpRequest request{
+        .method = "POST",
+        .target = "/a/",
+        .path = "/a/",
+        .headers = { { "Host", "h" },
+                     { platform::kAttemptId, "r1" },
+                     { platform::kDeadline, "900" },
+                     { platform::kAuthorization, "Bearer k1" },
+                     { platform::kTenant, "forged" },
+                     { platform::kExpectInstance, "forged" },
+                     { platform::kPath, "10.0.0.1:1=0-16" },
+                     { platform::kTokenCount, "1460,80" },
+                     { "Connection", "X-Hop" },
+                     { "X-Hop", "1" },
+                     { "X-Kept", "2" } },
+    };
+    const GatewayDialect dialect = platform::gatewayDialect();
+    const RequestFacts facts = dialect.readRequest(request);
+    EXPECT_EQ(facts.id, "r1");
+    EXPECT_EQ(facts.key, "k1");
+    EXPECT_EQ(facts.remaining, 900ms);
+    EXPECT_EQ(facts.promptTokens, 1460.0);
+    const HttpHeaders headers = dialect.upstreamHeaders(
+            request, { .upstream = "i-1", .customer = "t", .remaining = 500ms });
+    EXPECT_EQ(headerValue(headers, platform::kTenant), "t");
+    EXPECT_EQ(headerValue(headers, platform::kExpectInstance), "i-1");
+    EXPECT_EQ(headerValue(headers, platform::kDeadline), "500");
+    EXPECT_EQ(headerValue(headers, platform::kAuthorization), "");
+    EXPECT_EQ(headerValue(headers, platform::kPath), "");
+    EXPECT_EQ(headerValue(headers, "X-Hop"), "");
+    EXPECT_EQ(headerValue(headers, "X-Kept"), "2");
+    EXPECT_EQ(std::ranges::count_if(headers,
+                                    [](const auto &each) {
+                                        return sameHeader(each.first, platform::kTenant);
+                                    }),
+              1);
+}
--- a/tests/quorum_log_test.cpp
+++ b/tests/quorum_log_test.cpp
@@ -103,6 +103,26 @@
     }
 }
 
+TEST_F(QuorumLogTest, CutsWhatALossOfPowerTookOutOfTheMiddle)
+{
+    this->write(3);
+    const std::size_t synced = std::filesystem::file_size(this->file());
+    {
+        QuorumLog log(this->folder, kEndpoint);
+        Reason<QuorumLogError> reason;
+        ASSERT_TRUE(log.open(reason));
+        log.append({ QuorumEntry{ .term = 3, .index = 4, .payload = "command" } });
+        log.append({ QuorumEntry{ .term = 3, .index = 5, .payload = "command" } });
+    }
+    // The first of two writes that were not synced is missing, the second is there.
+    this->overwrite(synced + 3, std::string(30, '\0'));
+    Reason<QuorumLogError> reason;
+    const auto memory = this->reopen(reason);
+    ASSERT_TRUE(memory) << reason.detail;
+    EXPECT_EQ(memory->entries.size(), 3U);
+    EXPECT_EQ(std::filesystem::file_size(this->file()), synced);
+}
+
 TEST_F(QuorumLogTest, RefusesAFolderOfAnotherAddressAndOneInUse)
 {
     this->write(1);
--- a/tests/quorum_test.cpp
+++ b/tests/quorum_test.cpp
@@ -42,7 +42,9 @@
 class Group
 {
 public:
-    explicit Group(std::size_t members, std::uint64_t seed = 1) : members(members), random(seed)
+    explicit Group(std::size_t members, std::uint64_t seed = 1, std::size_t seeds = SIZE_MAX,
+                   std::size_t wantedVoters = 0)
+        : members(members), random(seed), seeds(seeds), wantedVoters(wantedVoters)
     {
         for (std::size_t i = 0; i < members; ++i) {
             this->members[i].ratePercent = 96 + static_cast<int>(i * 2);
@@ -59,8 +61,10 @@
     void start(std::size_t i, bool isFresh)
     {
         Member &member = this->members[i];
-        QuorumOptions options{ .endpoint = endpointOf(i), .trailingEntries = 5 };
-        for (std::size_t each = 0; each < this->members.size(); ++each)
+        QuorumOptions options{ .endpoint = endpointOf(i),
+                               .wantedVoters = this->wantedVoters,
+                               .trailingEntries = 5 };
+        for (std::size_t each = 0; each < std::min(this->seeds, this->members.size()); ++each)
             options.controls.push_back(endpointOf(each));
         member.applied = 0;
         member.machine = std::make_unique<Quorum>(options, member.synced, isFresh, this->random(),
@@ -251,6 +255,8 @@
     std::map<std::uint64_t, std::uint64_t> leaders;
     std::vector<std::string> faults;
     std::mt19937_64 random;
+    std::size_t seeds;        ///< members that form the group
+    std::size_t wantedVoters; ///< of a group that looks after itself
     Milliseconds elapsed{ 0 };
     std::uint64_t lastRead{ 0 };
 
@@ -414,6 +420,73 @@
 
 } // namespace
 
+namespace {
+
+/// Endpoints of the voters as the leader knows them.
+std::set<std::string> votersOf(Group &group)
+{
+    std::set<std::string> voters;
+    const auto leads = group.leader();
+    if (!leads)
+        return voters;
+    for (const QuorumMember &each : group.members[*leads].machine->members().members) {
+        if (each.voter)
+            voters.insert(each.endpoint);
+    }
+    return voters;
+}
+
+} // namespace
+
+TEST(QuorumMembership, AGroupGrowsToTheVotersItWants)
+{
+    Group group(5, 1, 3, 5);
+    group.run(10s);
+    EXPECT_EQ(votersOf(group).size(), 5U);
+    EXPECT_EQ(faultsOf(group), "");
+}
+
+TEST(QuorumMembership, ALostFolderIsReplacedAtItsAddress)
+{
+    Group group(3, 1, 3, 3);
+    group.run(4s);
+    ASSERT_TRUE(group.leader());
+    const std::size_t lost = (*group.leader() + 1) % 3;
+    group.propose(*group.leader(), "a");
+    group.run(1s);
+    group.loseFolder(lost);
+    group.run(8s);
+    EXPECT_EQ(votersOf(group).size(), 3U);
+    EXPECT_TRUE(group.members[lost].machine->mayVote());
+    EXPECT_EQ(group.members[lost].applied, group.oracle.rbegin()->first);
+    EXPECT_EQ(faultsOf(group), "");
+}
+
+TEST(QuorumMembership, ASilentVoterGivesItsPlaceToANewInstance)
+{
+    Group group(4, 1, 3, 3);
+    group.crash(3);
+    group.run(4s);
+    ASSERT_TRUE(group.leader());
+    const std::size_t lost = (*group.leader() + 1) % 3;
+    group.crash(lost);
+    group.run(8s);
+    EXPECT_EQ(votersOf(group).size(), 3U) << "nobody is there to take the place";
+    group.start(3, true);
+    group.run(8s);
+    EXPECT_EQ(votersOf(group).size(), 3U);
+    EXPECT_FALSE(votersOf(group).contains(endpointOf(lost)));
+    EXPECT_TRUE(votersOf(group).contains(endpointOf(3)));
+    // Back again, it waits until a place is free.
+    group.start(lost, false);
+    group.run(4s);
+    EXPECT_FALSE(votersOf(group).contains(endpointOf(lost)));
+    group.crash((*group.leader() + 1) % 3 == lost ? 3 : (*group.leader() + 1) % 3);
+    group.run(15s);
+    EXPECT_TRUE(votersOf(group).contains(endpointOf(lost)));
+    EXPECT_EQ(faultsOf(group), "");
+}
+
 RC_GTEST_PROP(Quorum, AgreesUnderCrashesLossAndPartitions, ())
 {
     checkSteps();
--- /dev/null
+++ b/tests/staging_test.cpp
@@ -0,0 +1,195 @@
+#include "staging.h"
+
+#include "source_pool.h"
+
+#include "fuzz.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace egret;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{} + 100s;
+
+/// Takes a staging up to the point where pieces are complete.
+void collect(Staging &staging, TimePoint now)
+{
+    EXPECT_EQ(staging.next(now), StagingTask::fetchManifest);
+    staging.onManifest(true, now);
+    EXPECT_EQ(staging.next(now), StagingTask::checkHeld);
+    staging.onHeldChecked(true, now);
+    EXPECT_EQ(staging.next(now), StagingTask::collect);
+    staging.onCollected(now);
+}
+
+} // namespace
+
+TEST(Staging, PiecesAreReadBackRightBeforeTheOrder)
+{
+    Staging staging;
+    staging.setTarget(2, true, kStart);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::readBack);
+    staging.onReadBack(true, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::order);
+    staging.onOrdered(OrderOutcome::begun, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::none);
+    staging.onEngine({ .version = 2 });
+    EXPECT_EQ(staging.next(kStart + 9s), StagingTask::none);
+    EXPECT_TRUE(staging.isLoaded());
+}
+
+TEST(Staging, DamagedPiecesAreCollectedAgain)
+{
+    Staging staging;
+    staging.setTarget(2, true, kStart);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    staging.next(kStart);
+    staging.onReadBack(false, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::collect);
+}
+
+TEST(Staging, WhatWasReadBackLongAgoIsReadAgain)
+{
+    Staging staging({ .verifiedFor = 700ms });
+    staging.setTarget(2, true, kStart);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    staging.next(kStart);
+    staging.onReadBack(true, kStart);
+    staging.onEngine({ .version = 1, .isBusy = true });
+    EXPECT_EQ(staging.next(kStart + 1s), StagingTask::none);
+    staging.onEngine({ .version = 1 });
+    EXPECT_EQ(staging.next(kStart + 1s), StagingTask::readBack);
+}
+
+TEST(Staging, TheSecondGroupWaitsUnlessItsEngineServesNothing)
+{
+    Staging staging({ .bound = 8s, .secondGroupLead = 2s });
+    staging.setTarget(2, true, kStart);
+    staging.setSecondGroup(true);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    EXPECT_EQ(staging.next(kStart + 4s), StagingTask::none);
+    staging.onEngine({ .version = 0 });
+    EXPECT_EQ(staging.next(kStart + 4s), StagingTask::readBack);
+    staging.onReadBack(true, kStart + 4s);
+    staging.onEngine({ .version = 1 });
+    EXPECT_EQ(staging.next(kStart + 6s), StagingTask::readBack);
+}
+
+TEST(Staging, ALostOrderIsGivenAgainOnlyWhenTheEngineIsIdle)
+{
+    Staging staging({ .orderPatience = 1s });
+    staging.setTarget(2, false, kStart);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    staging.next(kStart);
+    staging.onReadBack(true, kStart);
+    staging.next(kStart);
+    staging.onOrdered(OrderOutcome::unknown, kStart);
+    staging.onEngine({ .version = 1, .isBusy = true });
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none);
+    staging.onEngine({ .version = 1 });
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::readBack);
+}
+
+TEST(Staging, ANewerVersionInMidFlightStartsOver)
+{
+    Staging staging;
+    staging.setTarget(2, true, kStart);
+    staging.onEngine({ .version = 1 });
+    collect(staging, kStart);
+    staging.next(kStart);
+    staging.setTarget(3, true, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    staging.setTarget(2, true, kStart);
+    EXPECT_EQ(staging.target(), 3U);
+}
+
+TEST(SourcePool, TheOnlySourceIsAskedAgainSoonAfterDamagedBytes)
+{
+    SourcePool only;
+    only.reset(1);
+    only.onCorrupt(0, kStart);
+    EXPECT_FALSE(only.choose(kStart));
+    EXPECT_TRUE(only.choose(kStart + 200ms));
+    SourcePool two;
+    two.reset(2);
+    two.onCorrupt(0, kStart);
+    EXPECT_EQ(two.choose(kStart + 200ms), 1U);
+    EXPECT_EQ(two.choose(kStart + 400ms), 1U);
+}
+
+/// An engine that restarts, rots and loses orders against the machine: nothing
+/// is loaded that was not read back whole since it last changed, and all ends well.
+TEST(Staging, FuzzedEnginesAreNeverLoadedUnverified)
+{
+    fuzz([] {
+        Staging staging;
+        TimePoint now = kStart;
+        std::uint64_t loaded = 1;
+        std::uint64_t target = 2;
+        bool isRotten = false;
+        bool busy = false;
+        TimePoint verifiedAt;
+        bool isVerified = false;
+        staging.setSecondGroup(*rc::gen::arbitrary<bool>());
+        staging.setTarget(target, true, now);
+        const auto turn = [&](bool faults) {
+            now += Milliseconds(*rc::gen::inRange(10, 400));
+            if (faults && *rc::gen::inRange(0, 12) == 0)
+                loaded = 0;
+            if (faults && *rc::gen::inRange(0, 8) == 0) {
+                isRotten = true;
+                isVerified = false;
+            }
+            if (faults && target < 4 && *rc::gen::inRange(0, 20) == 0)
+                staging.setTarget(++target, true, now);
+            if (faults && *rc::gen::inRange(0, 10) == 0)
+                staging.onEngineLost();
+            else
+                staging.onEngine({ .version = loaded, .isBusy = busy });
+            busy = false;
+            switch (staging.next(now)) {
+            case StagingTask::none:
+                break;
+            case StagingTask::fetchManifest:
+                staging.onManifest(!faults || *rc::gen::inRange(0, 3) > 0, now);
+                break;
+            case StagingTask::checkHeld:
+                staging.onHeldChecked(!faults || *rc::gen::inRange(0, 3) > 0, now);
+                break;
+            case StagingTask::collect:
+                isRotten = false;
+                staging.onCollected(now);
+                break;
+            case StagingTask::readBack:
+                isVerified = !isRotten;
+                verifiedAt = now;
+                staging.onReadBack(isVerified, now);
+                break;
+            case StagingTask::order:
+                RC_ASSERT(now - verifiedAt <= 3s);
+                if (!faults || *rc::gen::inRange(0, 3) > 0) {
+                    loaded = isVerified ? staging.target() : loaded;
+                    busy = true;
+                    staging.onOrdered(OrderOutcome::begun, now);
+                } else {
+                    staging.onOrdered(OrderOutcome::unknown, now);
+                }
+                break;
+            }
+        };
+        const int steps = *rc::gen::inRange(0, 60);
+        for (int i = 0; i < steps; ++i)
+            turn(true);
+        for (int i = 0; i < 300; ++i)
+            turn(false);
+        RC_ASSERT(loaded == target);
+    });
+}
--- /dev/null
+++ b/tests/upstream_choice_test.cpp
@@ -0,0 +1,256 @@
+#include "engine_model.h"
+#include "upstream_choice.h"
+
+#include <gtest/gtest.h>
+
+using namespace egret;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{} + 100s;
+
+/// An engine as today's deployments have them.
+EngineSpec engineSpec()
+{
+    return { .model = "m",
+             .slots = 16,
+             .step = FloatMilliseconds(9.27),
+             .stepPerRequest = FloatMilliseconds(0.0232),
+             .stepPerThousand = FloatMilliseconds(0.0322),
+             .readPerSecond = 20700,
+             .perMillionPairs = FloatMilliseconds(1.18),
+             .stride = 5,
+             .usualPrompt = 979,
+             .usualAnswer = 92 };
+}
+
+PlanService engineService()
+{
+    return { .name = "llm", .maxConnections = 400, .coldRate = 36, .engine = engineSpec() };
+}
+
+std::string endpointOf(int engine)
+{
+    return "10.0.0." + std::to_string(engine) + ":80";
+}
+
+class UpstreamChoiceTest : public testing::Test
+{
+protected:
+    UpstreamChoiceTest()
+        : choice({ .zone = "a", .regions = { { "a", "ra" }, { "b", "rb" } } }, 1)
+    {}
+
+    UpstreamRecord record(int engine, const std::string &zone = "a") const
+    {
+        return { .id = "e" + std::to_string(engine),
+                 .born = 1,
+                 .sequence = 1,
+                 .service = "llm",
+                 .endpoint = endpointOf(engine),
+                 .zone = zone,
+                 .slots = 16,
+                 .model = "m",
+                 .version = 1 };
+    }
+
+    void notice(int engine, std::uint32_t active, std::uint32_t queued, std::uint64_t version = 1,
+                TimePoint at = kStart)
+    {
+        this->choice.onNotice({ .endpoint = endpointOf(engine),
+                                .isUsable = true,
+                                .model = "m",
+                                .version = version,
+                                .queued = queued,
+                                .active = active,
+                                .pace = 1 },
+                              at);
+    }
+
+    ChoiceQuery query() const
+    {
+        return { .service = "llm",
+                 .plan = &this->service,
+                 .promptTokens = 979,
+                 .firstWithin = 400ms };
+    }
+
+    std::map<std::string, int> drawn(const ChoiceQuery &query, int times = 200)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < times; ++i)
+            ++counts[this->choice.choose(query, kStart).upstream];
+        return counts;
+    }
+
+    PlanService service = engineService();
+    UpstreamChoice choice;
+};
+
+} // namespace
+
+TEST(EngineModel, PredictsWaitingOnlyWhenPlacesAreTaken)
+{
+    const EngineModel model(engineSpec());
+    EXPECT_EQ(model.placeWait({ .active = 15 }).count(), 0.0);
+    EXPECT_GT(model.placeWait({ .active = 16 }).count(), 50.0);
+    EXPECT_GT(model.firstToken({ .active = 16, .queued = 2 }, 979),
+              model.firstToken({ .active = 16 }, 979));
+    EXPECT_GT(model.firstToken({ .active = 4 }, 3000), model.firstToken({ .active = 4 }, 300));
+    // A pass of an empty engine and the reading of one prompt.
+    EXPECT_NEAR(model.firstToken({}, 979).count(), 94.2, 3.0);
+}
+
+TEST_F(UpstreamChoiceTest, EnginesWithRoomAreDrawnByTheirRoom)
+{
+    for (int engine = 1; engine <= 2; ++engine)
+        this->choice.onRecord(this->record(engine), kStart);
+    this->notice(1, 16, 1);
+    this->notice(2, 4, 0);
+    const auto counts = this->drawn(this->query());
+    EXPECT_GT(counts.at("e2"), 180);
+}
+
+TEST_F(UpstreamChoiceTest, GatewaysThatSeeTheSameDoNotAllChooseTheSame)
+{
+    for (int engine = 1; engine <= 4; ++engine) {
+        this->choice.onRecord(this->record(engine), kStart);
+        this->notice(engine, 8, 0);
+    }
+    for (const auto &[engine, count] : this->drawn(this->query()))
+        EXPECT_GT(count, 25) << engine;
+}
+
+TEST_F(UpstreamChoiceTest, WhatCanNotBeInTimeIsRefusedAtOnceWithATimeToComeBack)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->notice(1, 16, 12);
+    const Choice choice = this->choice.choose(this->query(), kStart);
+    EXPECT_EQ(choice.problem, NoChoice::busy);
+    EXPECT_GE(choice.retryAfter, 100ms);
+    EXPECT_LE(choice.retryAfter, 2s);
+}
+
+TEST_F(UpstreamChoiceTest, OwnSendsCountUntilANoticeCanHaveSeenThem)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->notice(1, 14, 0);
+    for (int i = 0; i < 8; ++i)
+        this->choice.onSent("e1", 979, kStart);
+    EXPECT_EQ(this->choice.choose(this->query(), kStart).problem, NoChoice::busy);
+    this->notice(1, 8, 0, 1, kStart + 200ms);
+    EXPECT_EQ(this->choice.choose(this->query(), kStart + 200ms).upstream, "e1");
+}
+
+TEST_F(UpstreamChoiceTest, ZonesOutRegionsAndDrainingUpstreamsGetNothing)
+{
+    this->choice.onRecord(this->record(1, "a"), kStart);
+    this->choice.onRecord(this->record(2, "b"), kStart);
+    const std::vector<std::string> onlyB = { "rb" };
+    ChoiceQuery query = this->query();
+    query.routeRegions = &onlyB;
+    EXPECT_EQ(this->choice.choose(query, kStart).upstream, "e2");
+    this->choice.setZonesOut({ "b" });
+    EXPECT_EQ(this->choice.choose(query, kStart).problem, NoChoice::unknown);
+    EXPECT_EQ(this->choice.choose(this->query(), kStart).upstream, "e1");
+    UpstreamRecord draining = this->record(1);
+    draining.notice = UpstreamNotice::draining;
+    this->choice.onRecord(draining, kStart);
+    EXPECT_EQ(this->choice.choose(this->query(), kStart).problem, NoChoice::unknown);
+}
+
+TEST_F(UpstreamChoiceTest, OldWeightsAreLeftWhenTheirTimeIsOver)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onRecord(this->record(2), kStart);
+    this->notice(1, 0, 0, 1);
+    this->notice(2, 15, 0, 2);
+    ChoiceQuery query = this->query();
+    query.leastVersion = 2;
+    EXPECT_EQ(this->drawn(query).at("e2"), 200);
+    query.leastVersion = 3;
+    EXPECT_EQ(this->choice.choose(query, kStart).problem, NoChoice::unknown);
+    // A preference alone leaves older ones where nobody has the newest.
+    query.leastVersion = 0;
+    query.preferredVersion = 2;
+    EXPECT_EQ(this->drawn(query).at("e2"), 200);
+    query.preferredVersion = 3;
+    EXPECT_NE(this->choice.choose(query, kStart).upstream, "");
+}
+
+TEST_F(UpstreamChoiceTest, AResumedStreamStaysOnItsWeights)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onRecord(this->record(2), kStart);
+    this->notice(1, 0, 0, 1);
+    this->notice(2, 0, 0, 2);
+    ChoiceQuery query = this->query();
+    query.exactVersion = 1;
+    EXPECT_EQ(this->drawn(query).at("e1"), 200);
+}
+
+TEST_F(UpstreamChoiceTest, ALoadingEngineGetsNothing)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onNotice({ .endpoint = endpointOf(1), .isUsable = false, .version = 1 }, kStart);
+    EXPECT_EQ(this->choice.choose(this->query(), kStart).problem, NoChoice::unknown);
+}
+
+TEST_F(UpstreamChoiceTest, AColdEngineGetsOnlyItsShare)
+{
+    UpstreamRecord cold = this->record(1);
+    cold.coldFor = 3s;
+    this->choice.onRecord(cold, kStart);
+    this->choice.setGateways(8);
+    int sent = 0;
+    for (; sent < 50; ++sent) {
+        const Choice choice = this->choice.choose(this->query(), kStart + 1ms);
+        if (choice.upstream.empty())
+            break;
+        this->choice.onSent(choice.upstream, 10, kStart + 1ms);
+    }
+    // Thirty-six a second for all eight gateways together.
+    EXPECT_EQ(sent, 5);
+}
+
+TEST_F(UpstreamChoiceTest, AFailingUpstreamIsLeftWhereThereIsAnother)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onRecord(this->record(2), kStart);
+    for (int i = 0; i < 3; ++i) {
+        this->choice.onSent("e1", 10, kStart);
+        this->choice.onEnded("e1", true, kStart);
+    }
+    EXPECT_EQ(this->drawn(this->query()).at("e2"), 200);
+    ChoiceQuery query = this->query();
+    query.excluded = { "e2" };
+    query.firstWithin.reset();
+    EXPECT_EQ(this->choice.choose(query, kStart).upstream, "e1");
+    query.mayRunTwice = false;
+    EXPECT_EQ(this->choice.choose(query, kStart).problem, NoChoice::failing);
+}
+
+TEST_F(UpstreamChoiceTest, ANarrowPathCountsAsTime)
+{
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onRecord(this->record(2), kStart);
+    this->notice(1, 0, 0);
+    this->notice(2, 8, 0);
+    this->choice.setRoundTrip(endpointOf(1), 900ms);
+    EXPECT_EQ(this->drawn(this->query()).at("e2"), 200);
+}
+
+TEST_F(UpstreamChoiceTest, PlainServicesAreAnsweredInTheOwnZoneWhileTheyHaveRoom)
+{
+    const PlanService plain{ .name = "plain", .maxConnections = 51 };
+    for (int i = 1; i <= 3; ++i) {
+        UpstreamRecord record = this->record(i, i == 1 ? "a" : "b");
+        record.service = "plain";
+        this->choice.onRecord(record, kStart);
+    }
+    const ChoiceQuery query{ .service = "plain", .plan = &plain };
+    EXPECT_GT(this->drawn(query).at("e1"), 150);
+    for (int i = 0; i < 8; ++i)
+        this->choice.onSent("e1", 0, kStart);
+    EXPECT_EQ(this->drawn(query).count("e1"), 0U);
+}
--- /dev/null
+++ b/tests/upstream_records_test.cpp
@@ -0,0 +1,179 @@
+#include "registry.h"
+#include "view_state.h"
+
+#include "fuzz.h"
+#include "registry_node.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace egret;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{} + 100s;
+
+UpstreamRecord recordOf(const std::string &id, std::uint64_t born, std::uint64_t sequence,
+                        const std::string &endpoint = "10.0.0.1:80")
+{
+    return { .id = id,
+             .born = born,
+             .sequence = sequence,
+             .service = "s",
+             .endpoint = endpoint,
+             .zone = "a",
+             .slots = 4 };
+}
+
+} // namespace
+
+TEST(UpstreamRecords, ALateAnnouncementChangesNothing)
+{
+    UpstreamRecords records;
+    UpstreamRecord leaving = recordOf("i", 1, 5);
+    leaving.notice = UpstreamNotice::draining;
+    EXPECT_TRUE(records.take(leaving));
+    EXPECT_FALSE(records.take(recordOf("i", 1, 4)));
+    EXPECT_EQ(records.find("i")->notice, UpstreamNotice::draining);
+}
+
+TEST(UpstreamRecords, ADepartureEndsALifeForGoodButNotTheNext)
+{
+    UpstreamRecords records;
+    records.take(recordOf("i", 1, 5));
+    EXPECT_TRUE(records.depart("i", 1));
+    EXPECT_FALSE(records.take(recordOf("i", 1, 9)));
+    EXPECT_EQ(records.find("i")->notice, UpstreamNotice::gone);
+    EXPECT_TRUE(records.take(recordOf("i", 2, 1)));
+    EXPECT_EQ(records.find("i")->notice, UpstreamNotice::ready);
+}
+
+TEST(UpstreamRecords, AnAddressBelongsToTheLifeThatBeganLast)
+{
+    UpstreamRecords records;
+    records.take(recordOf("old", 1, 5));
+    records.take(recordOf("new", 2, 1));
+    EXPECT_EQ(records.find("old")->notice, UpstreamNotice::gone);
+    EXPECT_FALSE(records.take(recordOf("older", 1, 99)));
+    EXPECT_EQ(records.find("older"), nullptr);
+}
+
+TEST(UpstreamRecords, ADepartureThatComesFirstHolds)
+{
+    UpstreamRecords records;
+    EXPECT_TRUE(records.depart("i", 10));
+    EXPECT_FALSE(records.take(recordOf("i", 9, 7)));
+    EXPECT_TRUE(records.take(recordOf("i", 11, 1)));
+}
+
+/// Whatever the order of arrival, the outcome is that of the latest life.
+TEST(UpstreamRecords, FuzzedOrdersEndTheSame)
+{
+    fuzz([] {
+        std::vector<UpstreamRecord> all;
+        const auto lives = *rc::gen::inRange<std::uint64_t>(1, 4);
+        for (std::uint64_t life = 1; life <= lives; ++life) {
+            for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+                all.push_back(recordOf("i", life, sequence));
+                if (sequence == 3)
+                    all.back().notice = UpstreamNotice::draining;
+            }
+        }
+        UpstreamRecords records;
+        while (!all.empty()) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, all.size());
+            records.take(all[at]);
+            all.erase(all.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        RC_ASSERT(records.find("i")->born == lives);
+        RC_ASSERT(records.find("i")->notice == UpstreamNotice::draining);
+    });
+}
+
+TEST(Registry, TellsEachReaderOnlyWhatItHasNotSeen)
+{
+    Registry registry;
+    EXPECT_TRUE(registry.hear(recordOf("i", 1, 1), kStart));
+    const std::uint64_t seen = registry.change();
+    EXPECT_FALSE(registry.hear(recordOf("i", 1, 2), kStart));
+    EXPECT_TRUE(registry.since(seen, kStart).empty());
+    EXPECT_TRUE(registry.hear(recordOf("j", 1, 1, "10.0.0.2:80"), kStart));
+    ASSERT_EQ(registry.since(seen, kStart).size(), 1U);
+    EXPECT_EQ(registry.since(seen, kStart).front().id, "j");
+    EXPECT_EQ(registry.takeNews().size(), 2U);
+    EXPECT_TRUE(registry.takeNews().empty());
+}
+
+TEST(Registry, AnUpstreamTurnsQuietAndIsHeardAgain)
+{
+    Registry registry({ .quietAfter = 4s });
+    registry.hear(recordOf("i", 1, 1), kStart);
+    EXPECT_FALSE(registry.tick(kStart + 4s));
+    EXPECT_TRUE(registry.tick(kStart + 4100ms));
+    EXPECT_TRUE(registry.since(0, kStart).front().isQuiet);
+    EXPECT_TRUE(registry.learn({ recordOf("i", 1, 2) }, kStart + 5s));
+    EXPECT_FALSE(registry.since(0, kStart).front().isQuiet);
+}
+
+TEST(Registry, ColdTimeIsWhatIsLeft)
+{
+    Registry registry;
+    UpstreamRecord cold = recordOf("i", 1, 1);
+    cold.coldFor = 3s;
+    registry.hear(cold, kStart);
+    EXPECT_EQ(registry.since(0, kStart + 1s).front().coldFor, 2s);
+    EXPECT_EQ(registry.since(0, kStart + 9s).front().coldFor, 0ms);
+}
+
+TEST(Registry, ForgetsDepartedUpstreamsInTheEnd)
+{
+    Registry registry({ .forgetAfter = 60s });
+    registry.hear(recordOf("i", 1, 1), kStart);
+    registry.depart("i", 1, kStart);
+    registry.tick(kStart + 59s);
+    EXPECT_EQ(registry.size(), 1U);
+    registry.tick(kStart + 61s);
+    EXPECT_EQ(registry.size(), 0U);
+}
+
+TEST(ViewState, ADocumentNeverGoesBack)
+{
+    ViewState state({ .instance = "g", .lease = 4s });
+    View newer{ .incarnation = 1, .state = { .index = 9, .texts = { { kDocumentText, 4, "four" } } },
+                .hasState = true };
+    EXPECT_TRUE(state.take("r1", newer, kStart).state);
+    View older{ .incarnation = 2, .state = { .index = 5, .texts = { { kDocumentText, 3, "three" } } },
+                .hasState = true };
+    EXPECT_FALSE(state.take("r2", older, kStart).state);
+    EXPECT_EQ(state.number(kDocumentText), 4U);
+    EXPECT_EQ(state.pull("r2", kStart).documentNumber, 4U);
+}
+
+TEST(ViewState, TheLeaseRunsFromWhenTheStateWasConfirmed)
+{
+    ViewState state({ .instance = "g", .lease = 4s });
+    const Milliseconds askedAt = state.pull("r1", kStart).sentAt;
+    View view{ .incarnation = 1, .askedAt = askedAt, .isConfirmed = true, .confirmedFor = 300ms };
+    EXPECT_FALSE(state.isConfirmed(kStart));
+    state.take("r1", view, kStart + 1s);
+    EXPECT_TRUE(state.isConfirmed(kStart + 3600ms));
+    EXPECT_FALSE(state.isConfirmed(kStart + 3700ms));
+    // Neither a push nor an instance that does not lead prolongs it.
+    view.isPush = true;
+    view.askedAt = state.pull("r1", kStart + 3s).sentAt;
+    state.take("r1", view, kStart + 3s);
+    view.isPush = false;
+    view.isConfirmed = false;
+    state.take("r1", view, kStart + 3s);
+    EXPECT_FALSE(state.isConfirmed(kStart + 3700ms));
+}
+
+TEST(ViewState, ARestartedRegistryIsAskedForEverything)
+{
+    ViewState state({ .instance = "g" });
+    state.take("r1", { .incarnation = 1, .change = 70 }, kStart);
+    EXPECT_EQ(state.pull("r1", kStart).change, 70U);
+    state.take("r1", { .incarnation = 2, .change = 3 }, kStart);
+    EXPECT_EQ(state.pull("r1", kStart).change, 3U);
+    EXPECT_EQ(state.pull("r1", kStart).receiverIncarnation, 2U);
+}
