--- a/src/link.cpp
+++ b/src/link.cpp
@@ -362,7 +362,9 @@
                         self->shut("peer is silent");
                         return;
                     }
-                    if (self->incoming)
+                    // The end that opened the link asks; its questions show the
+                    // other end that it is there.
+                    if (self->incoming && self->opener)
                         self->sendPing();
                     self->watch();
                 }));
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -10,6 +10,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace egret {
@@ -39,6 +40,7 @@
     std::uint64_t change{ 0 };
     std::uint64_t stateIndex{ 0 };
     std::uint64_t documentNumber{ 0 };
+    bool wantsDocument{ false }; ///< in its present question
 };
 
 /// An operator's call that waits for the leader.
@@ -213,8 +215,10 @@
                    .askedAt = bootNow(),
                    .change = knowsUs ? pull.change : 0,
                    .stateIndex = pull.stateIndex,
-                   .documentNumber = pull.documentNumber };
+                   .documentNumber = pull.documentNumber,
+                   .wantsDocument = pull.wantsDocument };
         this->sendView(reader, pull.sentAt, false);
+        reader.wantsDocument = false;
     }
 
     /// Sends what the reader lacks, and notes that it has it.
@@ -233,20 +237,34 @@
                    .registries = { this->others.begin(), this->others.end() },
                    .hasState = this->state->index > reader.stateIndex,
                    .upstreams = this->registry.since(reader.change, now) };
-        if (view.hasState) {
-            view.state = *this->state;
-            std::erase_if(view.state.texts, [&](const NumberedText &text) {
-                return text.name == kDocumentText && text.number <= reader.documentNumber;
-            });
-        }
+        const NumberedText document = this->document();
+        view.documentNumber = document.number;
+        const bool sendsDocument = reader.wantsDocument && document.number > reader.documentNumber;
+        if (view.hasState)
+            view.state = this->stateWithoutDocument();
+        if (sendsDocument)
+            view.state.texts.push_back(document);
         if (!reader.link->send(view))
             return;
         reader.change = view.change;
         reader.stateIndex = std::max(reader.stateIndex, this->state->index);
-        for (const NumberedText &text : view.state.texts) {
-            if (text.name == kDocumentText)
-                reader.documentNumber = text.number;
+    }
+
+    NumberedText document() const
+    {
+        const auto found =
+                std::ranges::find(this->state->texts, kDocumentText, &NumberedText::name);
+        return found == this->state->texts.end() ? NumberedText{} : *found;
+    }
+
+    OperatorState stateWithoutDocument() const
+    {
+        OperatorState rest{ .index = this->state->index, .zonesOut = this->state->zonesOut };
+        for (const NumberedText &text : this->state->texts) {
+            if (text.name != kDocumentText)
+                rest.texts.push_back(text);
         }
+        return rest;
     }
 
     std::uint32_t countGateways(TimePoint now) const
--- a/src/view_reader.cpp
+++ b/src/view_reader.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// The text of a document is asked for in the own region, where there is a
+/// registry that has it within this time, and again after the other.
+constexpr Milliseconds kOwnRegionFirst = 150ms;
+constexpr Milliseconds kAskAgain = 300ms;
 /// Share of the revocation bound for which a confirmed state is acted on; the
 /// rest is for clocks that differ in rate and for requests on their way.
 constexpr int kLeaseNumerator = 4;
@@ -55,6 +59,26 @@
     }
     if (changes.state)
         this->handlers.stateChanged();
+    if (view.documentNumber > 0 && view.documentNumber == this->state.newestDocument())
+        this->askForDocument(link);
+}
+
+/// Asks a registry that has the newest document for its text, where it lacks.
+void ViewReader::askForDocument(const LinkPtr &link)
+{
+    const TimePoint now = bootNow();
+    if (!this->state.lacksDocument()) {
+        this->lackingSince.reset();
+        return;
+    }
+    if (!this->lackingSince)
+        this->lackingSince = now;
+    const bool isNear = link->peer().region == this->settings.region;
+    const bool isDue = isNear || now >= *this->lackingSince + kOwnRegionFirst;
+    if (!isDue || now < this->documentAskedAt + kAskAgain)
+        return;
+    this->documentAskedAt = now;
+    link->send(this->state.pull(link->target(), now, true));
 }
 
 void ViewReader::onDown(const LinkPtr &link)
--- a/src/view_reader.h
+++ b/src/view_reader.h
@@ -39,6 +39,8 @@
     const ViewState &view() const { return this->state; }
 
 private:
+    void askForDocument(const LinkPtr &link);
+
     NodeSettings settings;
     LinkHub &hub;
     ViewReaderHandlers handlers;
@@ -46,6 +48,8 @@
     std::set<std::string> registries;
     std::set<std::string> connected; ///< registries that have answered since their link came up
     std::string lastAsked;
+    std::optional<TimePoint> lackingSince; ///< of a document that is known of
+    TimePoint documentAskedAt;
 };
 
 /// Time between two questions, each to the next registry instance.
--- a/src/view_state.cpp
+++ b/src/view_state.cpp
@@ -1,7 +1,5 @@
 #include "view_state.h"
 
-#include "registry_node.h"
-
 #include <algorithm>
 
 namespace egret {
@@ -15,7 +13,7 @@
 
 } // namespace
 
-ViewPull ViewState::pull(const std::string &registry, TimePoint now) const
+ViewPull ViewState::pull(const std::string &registry, TimePoint now, bool wantsDocument) const
 {
     const auto found = this->seen.find(registry);
     const Seen known = found == this->seen.end() ? Seen{} : found->second;
@@ -25,7 +23,8 @@
              .receiverIncarnation = known.incarnation,
              .change = known.change,
              .stateIndex = this->operators.index,
-             .documentNumber = this->number(kDocumentText) };
+             .documentNumber = this->number(kDocumentName),
+             .wantsDocument = wantsDocument };
 }
 
 ViewChanges ViewState::take(const std::string &registry, const View &view, TimePoint now)
@@ -37,14 +36,25 @@
               .change = isSameLife ? std::max(known.change, view.change) : view.change,
               .gateways = view.gateways };
     this->named.insert(view.registries.begin(), view.registries.end());
-    if (view.hasState && view.state.index > this->operators.index)
-        changes.state = this->takeState(view.state);
+    this->knownDocument = std::max(this->knownDocument, view.documentNumber);
+    if (view.hasState && view.state.index > this->operators.index) {
+        this->operators.index = view.state.index;
+        this->operators.zonesOut = view.state.zonesOut;
+        changes.state = true;
+    }
+    for (const NumberedText &text : view.state.texts) {
+        if (!this->takeText(text))
+            continue;
+        changes.state = true;
+        changes.document = changes.document || text.name == kDocumentName;
+    }
     for (const UpstreamRecord &record : view.upstreams) {
         if (this->records.take(record))
             changes.upstreams.push_back(record.id);
     }
     // A push answers nothing: when its state was confirmed is not known here.
-    if (!view.isPush && view.isConfirmed) {
+    // Nor does a state count whose document is not held yet.
+    if (!view.isPush && view.isConfirmed && !this->lacksDocument()) {
         const TimePoint askedAt(std::min<Duration>(view.askedAt, now.time_since_epoch()));
         const TimePoint until = askedAt - view.confirmedFor + this->options.lease;
         this->confirmedUntil = std::max(this->confirmedUntil.value_or(until), until);
@@ -52,19 +62,18 @@
     return changes;
 }
 
-/// Takes a newer state; texts that it leaves out stay.
-bool ViewState::takeState(const OperatorState &state)
+/// Takes a text of a higher number; true when it was one.
+bool ViewState::takeText(const NumberedText &text)
 {
-    this->operators.index = state.index;
-    this->operators.zonesOut = state.zonesOut;
-    for (const NumberedText &text : state.texts) {
-        auto &texts = this->operators.texts;
-        const auto standing = std::ranges::find(texts, text.name, &NumberedText::name);
-        if (standing == texts.end())
-            texts.push_back(text);
-        else if (text.number > standing->number)
-            *standing = text;
+    auto &texts = this->operators.texts;
+    const auto standing = std::ranges::find(texts, text.name, &NumberedText::name);
+    if (standing == texts.end()) {
+        texts.push_back(text);
+        return true;
     }
+    if (text.number <= standing->number)
+        return false;
+    *standing = text;
     return true;
 }
 
--- a/src/view_state.h
+++ b/src/view_state.h
@@ -23,6 +23,7 @@
 struct ViewChanges
 {
     bool state{ false };                ///< operators' state
+    bool document{ false };             ///< the document's text
     std::vector<std::string> upstreams; ///< names of those whose records changed
 };
 
@@ -35,12 +36,19 @@
     explicit ViewState(ViewStateOptions options) : options(std::move(options)) {}
 
     /// What to ask a registry instance.
-    ViewPull pull(const std::string &registry, TimePoint now) const;
+    ViewPull pull(const std::string &registry, TimePoint now, bool wantsDocument = false) const;
+
+    /// True when a registry instance has told of a newer document than is held.
+    bool lacksDocument() const { return this->knownDocument > this->number(kDocumentName); }
+
+    /// Number of the newest document that is known of; its text may be lacking.
+    std::uint64_t newestDocument() const { return this->knownDocument; }
 
     /// Takes a view that a registry instance has sent.
     ViewChanges take(const std::string &registry, const View &view, TimePoint now);
 
-    /// True while the operators' state is confirmed by a majority of late.
+    /// True while the operators' state is confirmed by a majority of late, and
+    /// the document that it names is held.
     bool isConfirmed(TimePoint now) const
     {
         return this->confirmedUntil && now < *this->confirmedUntil;
@@ -67,13 +75,16 @@
         std::uint32_t gateways{ 0 };
     };
 
-    bool takeState(const OperatorState &state);
+    bool takeText(const NumberedText &text);
+
+    static constexpr const char *kDocumentName = "document";
 
     ViewStateOptions options;
     std::map<std::string, Seen> seen; ///< by registry
     OperatorState operators;
     UpstreamRecords records;
     std::set<std::string> named;
+    std::uint64_t knownDocument{ 0 };
     std::optional<TimePoint> confirmedUntil;
 };
 
