--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -49,7 +49,7 @@
 constexpr double kRatioShare = 0.75;
 /// Requests stop going to older weights this long before their bound ends: they
 /// may still wait at the engine before they begin.
-constexpr Milliseconds kVersionMargin = 1000ms;
+constexpr Milliseconds kVersionMargin = 800ms;
 /// A client that has waited past its objective already gets what is left over:
 /// this share of the objective for its first event.
 constexpr double kLateShare = 0.6;
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -39,7 +39,10 @@
 
 void Quorum::tick(TimePoint now)
 {
-    if (now >= this->greetAt && (this->disk.cluster == 0 || !this->isConfirmed))
+    // One that was removed hears no leader either: it asks to be added again.
+    const bool isAlone = this->disk.cluster == 0 || !this->isConfirmed
+                         || (this->options.wantedVoters > 0 && !this->hearsLeader(now));
+    if (now >= this->greetAt && isAlone)
         this->greet(now);
     if (this->marksChanged && now >= this->marksAt + kMarksPeriod) {
         QuorumMarks marks;
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -32,6 +32,8 @@
 constexpr Milliseconds kPeersPeriod = 200ms;
 constexpr Milliseconds kLocalTimeout = 1s;
 constexpr Milliseconds kOriginTimeout = 3s;
+/// An origin that is back is noticed within this time; it may be gone for seconds.
+constexpr Milliseconds kOriginConnect = 400ms;
 constexpr Milliseconds kCallSweep = 50ms;
 /// Pieces read back from the engine at once.
 constexpr std::size_t kReadsAtOnce = 4;
@@ -41,11 +43,13 @@
 /// Peers say what they hold before the origin is asked: for a version named just
 /// now there is nothing to hear.
 constexpr Milliseconds kAnswerTimeNew = 20ms;
-constexpr Milliseconds kAnswerTimeOld = 900ms;
+constexpr Milliseconds kAnswerTimeOld = 300ms;
 constexpr std::uint32_t kConnectionsToEngine = 8;
 /// Share of the machine's link that pieces for peers may take: answers of the
 /// engine go over the same link and must not wait for more than one piece.
 constexpr double kUploadShare = 0.75;
+/// The same while the engine answers nobody.
+constexpr double kIdleUploadShare = 0.95;
 /// Requests of peers that waited longer have been given up by them.
 constexpr Milliseconds kUploadLimit = 2500ms;
 
@@ -709,7 +713,9 @@
         const Upload upload = this->uploads.front();
         this->uploads.pop_front();
         this->sendPiece(upload.link, upload.request);
-        const double rate = this->settings.linkMbps * kUploadShare / 8 * 1000; // bytes a millisecond
+        const bool isIdle = this->report && this->report->active == 0;
+        const double share = isIdle ? kIdleUploadShare : kUploadShare;
+        const double rate = this->settings.linkMbps * share / 8 * 1000; // bytes a millisecond
         const double bytes = static_cast<double>(upload.request.size);
         const FloatMilliseconds pause(rate > 0 ? bytes / rate : 0.0);
         this->uploadTimer.expires_after(std::chrono::ceil<std::chrono::microseconds>(pause));
@@ -741,17 +747,17 @@
 
     void callEngine(const LocalCall &call, Milliseconds timeout, CallDone done)
     {
-        this->call(this->engine, call, timeout, kConnectionsToEngine, std::move(done));
+        this->call(this->engine, call, timeout, kConnectionsToEngine, std::move(done), timeout);
     }
 
     void callOrigin(const std::string &target, CallDone done)
     {
         this->call(this->origin->endpoint, { .method = "GET", .target = target }, kOriginTimeout,
-                   kOriginPieces, std::move(done));
+                   kOriginPieces, std::move(done), kOriginConnect);
     }
 
     void call(const Endpoint &to, const LocalCall &call, Milliseconds timeout,
-              std::uint32_t connections, CallDone done)
+              std::uint32_t connections, CallDone done, Milliseconds connectTimeout)
     {
         auto pending = std::make_shared<Pending>();
         pending->done = std::move(done);
@@ -771,7 +777,7 @@
                 .head = head + "\r\n",
                 .body = call.body,
                 .maxConnections = connections,
-                .connectTimeout = timeout,
+                .connectTimeout = connectTimeout,
                 .onHead = [pending](const HttpHead &head) { pending->result.status = head.status; },
                 .onBody = [pending](std::string &&part) { pending->result.body += part; },
                 .onEnd = [end](const CallEnd &how) { end(how.outcome == CallOutcome::whole); },
