Load engines one after the other over the time that a version has

Change: each engine's turn is spread from when its pieces are staged to the last moment; ruled out: cutting streams (each is read again elsewhere).

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -554,11 +554,11 @@
     {
         if (this->swarm)
             this->swarm->setPeers(this->peers(), bootNow());
-        this->staging.setSecondGroup(this->isInSecondGroup());
+        this->staging.setTurn(this->turn());
     }
 
-    /// Engines of a zone belong to the two groups by turns.
-    bool isInSecondGroup() const
+    /// Place of this engine among those of its zone, from 0 to 1.
+    double turn() const
     {
         std::set<std::string> zone;
         for (const auto &[id, record] : this->reader.view().upstreams().all()) {
@@ -566,8 +566,11 @@
                 && record.notice == UpstreamNotice::ready && record.zone == this->settings.zone)
                 zone.insert(record.endpoint);
         }
-        const auto rank = std::distance(zone.begin(), zone.find(this->settings.engineAddress));
-        return rank % 2 == 1;
+        const auto own = zone.find(this->settings.engineAddress);
+        if (own == zone.end() || zone.size() < 2)
+            return 0;
+        return static_cast<double>(std::distance(zone.begin(), own))
+               / static_cast<double>(zone.size() - 1);
     }
 
     void runSwarm(TimePoint now)
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -1,5 +1,7 @@
 #include "staging.h"
 
+#include <algorithm>
+
 namespace egret {
 
 void Staging::setTarget(std::uint64_t target, bool isNewlyNamed, TimePoint now)
@@ -54,9 +56,11 @@
 /// An engine without weights serves nothing: it waits for no one.
 bool Staging::isTurn(TimePoint now) const
 {
-    if (!this->isNew || !this->isSecondGroup || this->engine->version == 0)
+    if (!this->isNew || this->engine->version == 0)
         return true;
-    return now >= this->namedAt + this->options.bound - this->options.secondGroupLead;
+    const TimePoint last = this->namedAt + this->options.bound - this->options.lastLead;
+    const Duration left = std::max<Duration>(Duration{ 0 }, last - this->stagedAt);
+    return now >= this->stagedAt + std::chrono::duration_cast<Duration>(left * this->turn);
 }
 
 StagingTask Staging::run(StagingTask task)
@@ -88,10 +92,12 @@
         this->retryLater(now);
 }
 
-void Staging::onCollected(TimePoint)
+void Staging::onCollected(TimePoint now)
 {
-    if (this->phase == Phase::collecting)
-        this->phase = Phase::staged;
+    if (this->phase != Phase::collecting)
+        return;
+    this->phase = Phase::staged;
+    this->stagedAt = now;
 }
 
 void Staging::onReadBack(bool isWhole, TimePoint now)
--- a/src/staging.h
+++ b/src/staging.h
@@ -10,7 +10,7 @@
 struct StagingOptions
 {
     Milliseconds bound{ 8s };          ///< time in which a named version is to be served
-    Milliseconds secondGroupLead{ 2s }; ///< the second group loads this long before the bound ends
+    Milliseconds lastLead{ 800ms };     ///< the last engine loads this long before the bound ends
     Milliseconds retry{ 300ms };        ///< after a failure
     Milliseconds verifiedFor{ 700ms };  ///< pieces read back longer ago are read back again
     Milliseconds orderPatience{ 1s };   ///< time for an order to show in the engine's report
@@ -38,8 +38,9 @@
 
 /// Brings one engine to the version of its weights that is named: pieces are
 /// collected, read back right before the order, since staged bytes may rot and
-/// the engine doesn't check them, and loaded when its group's turn has come.
-/// Half of the engines load first, so that the others serve meanwhile.
+/// the engine doesn't check them, and loaded when the engine's turn has come.
+/// Engines load one after the other over the time that is left, so that the
+/// others serve meanwhile.
 /// Deterministic; not thread safe.
 class Staging
 {
@@ -49,8 +50,8 @@
     /// Sets the version to be served. `isNew`: it was named just now.
     void setTarget(std::uint64_t version, bool isNew, TimePoint now);
 
-    /// Whether the engine belongs to the half that loads last.
-    void setSecondGroup(bool isSecond) { this->isSecondGroup = isSecond; }
+    /// The engine's place among those that load: 0 for the first, 1 for the last.
+    void setTurn(double place) { this->turn = place; }
 
     void onEngine(const EngineStanding &standing);
 
@@ -89,7 +90,8 @@
     std::uint64_t version{ 0 };
     TimePoint namedAt;
     bool isNew{ false };
-    bool isSecondGroup{ false };
+    double turn{ 0 };
+    TimePoint stagedAt;
     Phase phase{ Phase::none };
     bool isRunning{ false }; ///< a task is under way
     TimePoint notBefore;
