Take back requests that wait past the bound of their weights

Change: what has not begun is cancelled 250 ms before it and sent to newer weights. Ruled out: a longer margin alone, which costs places for every rollout. Conclusion: the bound no longer rests on a prediction.

--- a/src/delivery.h
+++ b/src/delivery.h
@@ -95,9 +95,9 @@
 
     DeliveryFacts facts;
     std::set<std::string> triedUpstreams;
-    std::uint32_t sends{ 0 };     ///< attempts whose bytes may have reached an upstream
-    bool inFlight{ false };       ///< an attempt is under way
-    bool ranMaybe{ false };       ///< an ended attempt may have run
+    std::uint32_t sends{ 0 }; ///< attempts whose bytes may have reached an upstream
+    bool inFlight{ false };   ///< an attempt is under way
+    bool ranMaybe{ false };   ///< an ended attempt may have run
     bool passedOn{ false };
     bool over{ false };
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -49,7 +49,9 @@
 constexpr double kRatioShare = 0.75;
 /// Requests stop going to older weights this long before their bound ends: they
 /// may still wait at the engine before they begin.
-constexpr Milliseconds kVersionMargin = 800ms;
+constexpr Milliseconds kVersionMargin = 1000ms;
+/// One that still waits there this long before the bound ends is taken back.
+constexpr Milliseconds kVersionRecall = 250ms;
 /// A client that has waited past its objective already gets what is left over:
 /// this share of the objective for its first event.
 constexpr double kLateShare = 0.6;
@@ -97,6 +99,7 @@
     // The present attempt.
     std::uint64_t call{ 0 };
     std::string upstream;
+    std::uint64_t sentVersion{ 0 }; ///< of the weights that the upstream had
     HttpHead head;
     AnswerFacts answer;
     std::string body;
@@ -165,13 +168,17 @@
             return false;
         }
         this->pool.every(kViewTick, [this] { this->onViewTick(); });
-        this->pool.every(kDeadlineTick, [this] { this->endLate(); });
+        this->pool.every(kDeadlineTick, [this] {
+            this->endLate();
+            this->recallOutdated();
+        });
         return true;
     }
 
     bool isReady() const
     {
-        return !this->stopping && this->plan != nullptr && this->reader.view().isConfirmed(bootNow());
+        return !this->stopping && this->plan != nullptr
+               && this->reader.view().isConfirmed(bootNow());
     }
 
     bool drain()
@@ -320,8 +327,8 @@
     /// when, is not known: it is preferred from the start.
     void takeVersion(const NumberedText &text, TimePoint now)
     {
-        WeightsTargets &model = this->targets[text.name.substr(
-                std::string_view(kWeightsTextPrefix).size())];
+        WeightsTargets &model =
+                this->targets[text.name.substr(std::string_view(kWeightsTextPrefix).size())];
         if (text.number <= model.newest)
             return;
         model.newest = text.number;
@@ -386,7 +393,8 @@
         if (facts.id.empty())
             return this->refuse(facts, *reply, kBadRequest, "no-identity");
         // Step 2. Its life begins.
-        const Milliseconds limit = std::min(route->timeout, facts.remaining.value_or(route->timeout));
+        const Milliseconds limit =
+                std::min(route->timeout, facts.remaining.value_or(route->timeout));
         auto exchange = std::make_shared<Exchange>(
                 Delivery({ .isRepeatable = route->kind == RequestKind::repeatable,
                            .isStream = route->kind == RequestKind::stream,
@@ -489,8 +497,7 @@
     void chooseAndSend(const ExchangePtr &exchange, bool isResume = false)
     {
         const TimePoint now = bootNow();
-        if (exchange->delivery.attempts() > 0
-            && !this->budgetOf(exchange->service->name).take())
+        if (exchange->delivery.attempts() > 0 && !this->budgetOf(exchange->service->name).take())
             return this->act(exchange, exchange->delivery.onNoBudget());
         const Choice choice = this->upstreams.choose(this->queryOf(*exchange, now, isResume), now);
         if (choice.upstream.empty()) {
@@ -515,6 +522,7 @@
     void send(const ExchangePtr &exchange, const Choice &choice, TimePoint now)
     {
         exchange->upstream = choice.upstream;
+        exchange->sentVersion = exchange->service->engine ? choice.version : 0;
         exchange->head = {};
         exchange->answer = {};
         exchange->body.clear();
@@ -565,15 +573,13 @@
         const std::uint32_t priority = customer != nullptr && customer->priority
                                                ? *customer->priority
                                                : exchange.route->priority;
-        const SendFacts facts{
-            .upstream = choice.upstream,
-            .customer = customer == nullptr ? "" : customer->name,
-            .remaining =
-                    std::chrono::duration_cast<Milliseconds>(exchange.delivery.deadline() - now),
-            .priority = std::min<std::uint32_t>(priority, kMaxPriority),
-            .lastEvent = exchange.events.lastNumber(),
-            .version = exchange.delivery.hasPassedOn() ? exchange.version : 0
-        };
+        const SendFacts facts{ .upstream = choice.upstream,
+                               .customer = customer == nullptr ? "" : customer->name,
+                               .remaining = std::chrono::duration_cast<Milliseconds>(
+                                       exchange.delivery.deadline() - now),
+                               .priority = std::min<std::uint32_t>(priority, kMaxPriority),
+                               .lastEvent = exchange.events.lastNumber(),
+                               .version = exchange.delivery.hasPassedOn() ? exchange.version : 0 };
         const HttpRequest &request = exchange.request;
         std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
         for (const auto &[name, value] : this->dialect.upstreamHeaders(request, facts))
@@ -590,8 +596,8 @@
     {
         exchange->head = head;
         exchange->answer = this->dialect.readAnswer(head);
-        const bool isGood = isSuccess(head.status) && exchange->answer.isMarked
-                            && !exchange->answer.isEncoded;
+        const bool isGood =
+                isSuccess(head.status) && exchange->answer.isMarked && !exchange->answer.isEncoded;
         const bool isOther = exchange->delivery.hasPassedOn() && exchange->version != 0
                              && exchange->answer.version != exchange->version;
         exchange->streams = isGood && exchange->route->kind == RequestKind::stream && !isOther;
@@ -706,8 +712,7 @@
         this->upstreams.onEnded(exchange->upstream, status >= 500, now);
         const Verdict verdict = exchange->delivery.onFailureStatus(status, now);
         if (exchange->delivery.hasPassedOn())
-            return this->act(exchange,
-                             exchange->delivery.onBroken("failure-on-resume", now));
+            return this->act(exchange, exchange->delivery.onBroken("failure-on-resume", now));
         const bool hasBudget = verdict.step == NextStep::choose
                                && this->hasAlternative(*exchange, now)
                                && this->budgetOf(exchange->service->name).take();
@@ -776,23 +781,21 @@
         };
         ++this->counters.answers[outcome];
         if (exchange->firstAt)
-            this->firstTimes[exchange->service->name].add(*exchange->firstAt
-                                                          - exchange->arrivedAt);
+            this->firstTimes[exchange->service->name].add(*exchange->firstAt - exchange->arrivedAt);
         this->wholeTimes[exchange->service->name].add(now - exchange->arrivedAt);
-        logInfo("request ended", { { "request", exchange->facts.id },
-                                   { "route", exchange->route->name },
-                                   { "service", exchange->service->name },
-                                   { "document", exchange->plan->plan().number },
-                                   { "upstream", exchange->upstream },
-                                   { "attempts", exchange->delivery.attempts() },
-                                   { "status", status },
-                                   { "outcome", outcome },
-                                   { "firstMs", exchange->firstAt
-                                                        ? sinceArrival(*exchange->firstAt)
-                                                        : -1 },
-                                   { "waitedBeforeMs", exchange->waitedBefore.count() },
-                                   { "promptTokens", exchange->facts.promptTokens },
-                                   { "ms", sinceArrival(now) } });
+        logInfo("request ended",
+                { { "request", exchange->facts.id },
+                  { "route", exchange->route->name },
+                  { "service", exchange->service->name },
+                  { "document", exchange->plan->plan().number },
+                  { "upstream", exchange->upstream },
+                  { "attempts", exchange->delivery.attempts() },
+                  { "status", status },
+                  { "outcome", outcome },
+                  { "firstMs", exchange->firstAt ? sinceArrival(*exchange->firstAt) : -1 },
+                  { "waitedBeforeMs", exchange->waitedBefore.count() },
+                  { "promptTokens", exchange->facts.promptTokens },
+                  { "ms", sinceArrival(now) } });
     }
 
     /// The client has left: what may be dropped is dropped at once.
@@ -821,9 +824,8 @@
     {
         const TimePoint now = bootNow();
         std::vector<ExchangePtr> late;
-        std::ranges::copy_if(this->exchanges, std::back_inserter(late), [now](const auto &each) {
-            return now >= each->delivery.deadline();
-        });
+        std::ranges::copy_if(this->exchanges, std::back_inserter(late),
+                             [now](const auto &each) { return now >= each->delivery.deadline(); });
         for (const ExchangePtr &exchange : late) {
             const Verdict verdict = exchange->delivery.onDeadline();
             this->dropAttempt(*exchange);
@@ -831,11 +833,33 @@
         }
     }
 
+    /// Takes back requests that have not begun where the weights' time is over.
+    void recallOutdated()
+    {
+        const TimePoint soon = bootNow() - kVersionMargin + kVersionRecall;
+        std::vector<ExchangePtr> outdated;
+        std::ranges::copy_if(
+                this->exchanges, std::back_inserter(outdated), [&](const ExchangePtr &each) {
+                    if (each->call == 0 || each->sentVersion == 0 || each->delivery.hasPassedOn())
+                        return false;
+                    const auto target = this->targets.find(each->service->engine->model);
+                    return target != this->targets.end()
+                           && each->sentVersion < target->second.due(soon);
+                });
+        for (const ExchangePtr &exchange : outdated) {
+            logInfo("request is taken back", { { "request", exchange->facts.id },
+                                               { "upstream", exchange->upstream },
+                                               { "version", exchange->sentVersion } });
+            this->dropAttempt(*exchange);
+            this->act(exchange, exchange->delivery.onBroken("weights-outdated", bootNow()));
+        }
+    }
+
     /// Versions of a model's weights that must be served from some time on.
     struct WeightsTargets
     {
         std::uint64_t newest{ 0 };
-        std::uint64_t preferred{ 0 };               ///< named at a time that is not known
+        std::uint64_t preferred{ 0 };             ///< named at a time that is not known
         std::map<std::uint64_t, TimePoint> dueAt; ///< older ones get no request from then on
 
         /// The highest version that is due, 0 for none.
@@ -862,7 +886,7 @@
     PlanIndexPtr plan;
     std::map<std::string, WeightsTargets> targets; ///< by model
     bool sawState{ false };
-    std::map<std::string, RetryBudget> budgets;   ///< by service
+    std::map<std::string, RetryBudget> budgets; ///< by service
     std::uint32_t budgetGateways{ 0 };
     std::set<ExchangePtr> exchanges;
     std::mt19937_64 random{ randomSeed() };
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,7 +25,8 @@
     /// Binds and starts; false with a problem when it can't.
     bool start(std::string &problem);
 
-    /// True when clients should connect: a confirmed document is in force and no stop was asked for.
+    /// True when clients should connect: a confirmed document is in force and no stop was asked
+    /// for.
     bool isReady() const;
 
     /// Begins a planned stop: unready, connections closed with their answers.
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -12,7 +12,7 @@
 /// What a client's headers say.
 struct RequestFacts
 {
-    std::string id; ///< identity of this attempt of the client
+    std::string id;                        ///< identity of this attempt of the client
     std::optional<Milliseconds> remaining; ///< time for which the client will wait
     std::string key;                       ///< empty for none
     double promptTokens{ 0 };
@@ -33,11 +33,11 @@
 /// What an upstream's headers say.
 struct AnswerFacts
 {
-    std::string id;              ///< identity of the request that is answered
-    bool isMarked{ false };      ///< bears the mark of an upstream
-    bool isNotRun{ false };      ///< the upstream says that it did not run the request
-    bool isEncoded{ false };     ///< the body is not as the upstream made it
-    std::uint64_t version{ 0 };  ///< of the weights, 0 for none
+    std::string id;             ///< identity of the request that is answered
+    bool isMarked{ false };     ///< bears the mark of an upstream
+    bool isNotRun{ false };     ///< the upstream says that it did not run the request
+    bool isEncoded{ false };    ///< the body is not as the upstream made it
+    std::uint64_t version{ 0 }; ///< of the weights, 0 for none
 };
 
 /// How one deployment's clients and upstreams speak, for a gateway.
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -251,8 +251,8 @@
     /// Answers a request that could not be read, and closes.
     void refuse(int status)
     {
-        logInfo("request was not read", { { "status", status },
-                                          { "fault", httpFaultName(this->reader.fault()) } });
+        logInfo("request was not read",
+                { { "status", status }, { "fault", httpFaultName(this->reader.fault()) } });
         this->keepsAlive = false;
         this->pending.clear();
         this->enter(Phase::serving);
@@ -275,16 +275,16 @@
         if (!this->writing.empty() || this->outgoing.empty() || this->phase == Phase::closed)
             return;
         this->writing.swap(this->outgoing);
-        asio::async_write(this->socket, asio::buffer(this->writing),
-                          [self = this->shared_from_this()](const std::error_code &error,
-                                                            std::size_t) {
-                              self->writing.clear();
-                              if (error)
-                                  return self->close();
-                              self->flush();
-                              if (self->answered && self->writing.empty())
-                                  self->afterAnswer();
-                          });
+        asio::async_write(
+                this->socket, asio::buffer(this->writing),
+                [self = this->shared_from_this()](const std::error_code &error, std::size_t) {
+                    self->writing.clear();
+                    if (error)
+                        return self->close();
+                    self->flush();
+                    if (self->answered && self->writing.empty())
+                        self->afterAnswer();
+                });
     }
 
     void afterAnswer()
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -33,8 +33,8 @@
 struct HttpFrontOptions
 {
     Endpoint listen;
-    std::size_t maxConnections{ 3000 };       ///< more are closed at once
-    std::size_t maxHeldBytes{ 64U << 20U };   ///< body bytes of all requests together
+    std::size_t maxConnections{ 3000 };     ///< more are closed at once
+    std::size_t maxHeldBytes{ 64U << 20U }; ///< body bytes of all requests together
     HttpFrontBounds bounds;
 };
 
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -100,8 +100,7 @@
     bool carry(std::uint64_t number, OutboundCall &next)
     {
         char byte = 0;
-        const auto peeked =
-                ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto peeked = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
             return false;
         this->number = number;
@@ -115,8 +114,7 @@
     bool closed() const { return this->isClosed; }
     TimePoint usableUntil(bool mayRunTwice) const
     {
-        return this->lastUsed
-               + std::min(this->keepFor, mayRunTwice ? kKeepLimit : kKeepOnceLimit);
+        return this->lastUsed + std::min(this->keepFor, mayRunTwice ? kKeepLimit : kKeepOnceLimit);
     }
     TimePoint usedAt() const { return this->lastUsed; }
     std::uint64_t callNumber() const { return this->number; }
@@ -164,8 +162,8 @@
         const std::array<asio::const_buffer, 2> parts = { asio::buffer(this->call.head),
                                                           asio::buffer(this->call.body) };
         asio::async_write(this->socket, parts,
-                          [self = this->shared_from_this(), number = this->number](
-                                  const std::error_code &error, std::size_t) {
+                          [self = this->shared_from_this(),
+                           number = this->number](const std::error_code &error, std::size_t) {
                               if (self->isClosed || self->number != number)
                                   return;
                               // What has been answered already may still be read.
@@ -402,8 +400,8 @@
             const TimePoint now = bootNow();
             OutboundPtr best;
             for (const OutboundPtr &connection : connections) {
-                const bool isUsable = connection->isIdle()
-                                      && now < connection->usableUntil(call.mayRunTwice);
+                const bool isUsable =
+                        connection->isIdle() && now < connection->usableUntil(call.mayRunTwice);
                 if (isUsable && (!best || connection->usedAt() > best->usedAt()))
                     best = connection;
             }
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -11,10 +11,15 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
 
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-    "te",         "trailer",    "transfer-encoding",  "upgrade"
-};
+constexpr std::array<std::string_view, 9> kConnectionHeaders = { "connection",
+                                                                 "keep-alive",
+                                                                 "proxy-authenticate",
+                                                                 "proxy-authorization",
+                                                                 "proxy-connection",
+                                                                 "te",
+                                                                 "trailer",
+                                                                 "transfer-encoding",
+                                                                 "upgrade" };
 
 char lower(char c)
 {
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -109,7 +109,8 @@
     void flush()
     {
         while (!this->waiting.empty()) {
-            const ssize_t written = write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
+            const ssize_t written =
+                    write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
             if (written <= 0)
                 return;
             this->waiting.erase(0, static_cast<std::size_t>(written));
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -379,10 +379,9 @@
         if (now > greeting.at + kGreetingValid || this->member(greeting.folder) != nullptr)
             continue;
         const bool isReplacement =
-                greeting.cluster == 0
-                && std::ranges::any_of(known, [&](const QuorumMember &each) {
-                       return each.endpoint == endpoint;
-                   });
+                greeting.cluster == 0 && std::ranges::any_of(known, [&](const QuorumMember &each) {
+                    return each.endpoint == endpoint;
+                });
         if (!isReplacement && known.size() >= places)
             continue;
         if (this->addMember(now, endpoint))
@@ -539,8 +538,7 @@
     this->progress.clear();
     this->roundTimes.clear();
     for (const QuorumMember &each : this->members().members)
-        this->progress[each.folder] =
-                Progress{ .next = this->lastIndex() + 1, .heardAt = now };
+        this->progress[each.folder] = Progress{ .next = this->lastIndex() + 1, .heardAt = now };
     this->roundTimes[this->round] = now;
     for (auto &[folder, follower] : this->progress)
         follower.round = this->round;
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -22,8 +22,8 @@
     std::uint32_t group{ 0 };
     std::string endpoint;              ///< own link address
     std::vector<std::string> controls; ///< addresses that form the group; the first one forms it
-    bool mayForm{ true };          ///< false: an empty folder only waits to be added
-    std::size_t wantedVoters{ 0 }; ///< the leader adds instances that greet up to this number
+    bool mayForm{ true };              ///< false: an empty folder only waits to be added
+    std::size_t wantedVoters{ 0 };     ///< the leader adds instances that greet up to this number
     Milliseconds replaceAfter{ 6s }; ///< silence of a voter after which another may take its place
     Milliseconds heartbeat{ 100 };
     Milliseconds electionLeast{ 800 };  ///< no vote is given for so long after hearing a leader
@@ -124,9 +124,9 @@
     void read(TimePoint now, std::uint64_t id);
 
     /// Adds the instance that greeted from `endpoint` with a data folder that
-    /// is no member, as a learner: a fresh one, or one that was removed before. It becomes a voter once it has caught up,
-    /// and then replaces a voter of the same endpoint. False when this member
-    /// does not lead, knows no such instance or a change is under way.
+    /// is no member, as a learner: a fresh one, or one that was removed before. It becomes a voter
+    /// once it has caught up, and then replaces a voter of the same endpoint. False when this
+    /// member does not lead, knows no such instance or a change is under way.
     bool addMember(TimePoint now, const std::string &endpoint);
 
     /// Removes a member; false as above, or when it is the last voter.
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -197,9 +197,8 @@
 
     void onDown(const LinkPtr &link)
     {
-        std::erase_if(this->readers, [&link](const auto &each) {
-            return each.second.link == link;
-        });
+        std::erase_if(this->readers,
+                      [&link](const auto &each) { return each.second.link == link; });
         if (!link->target().empty())
             logInfo("registry link lost", { { "peer", link->target() } });
     }
--- a/src/source_pool.cpp
+++ b/src/source_pool.cpp
@@ -47,8 +47,7 @@
     Source &failed = this->sources[source];
     const auto doublings = std::min(failed.failures, kMostDoublings);
     ++failed.failures;
-    const Milliseconds longest =
-            this->sources.size() == 1 ? kOnlyLongestBackoff : kLongestBackoff;
+    const Milliseconds longest = this->sources.size() == 1 ? kOnlyLongestBackoff : kLongestBackoff;
     const Milliseconds backoff = std::min(kFirstBackoff * (1U << doublings), longest);
     failed.askAfter = now + std::max(backoff, retryAfter);
 }
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -284,8 +284,8 @@
         LoadNotice notice{ .endpoint = this->settings.engineAddress };
         if (this->report) {
             notice.born = this->report->born;
-            notice.isUsable = this->report->version > 0 && !this->report->isBusy
-                              && !this->isOrdering;
+            notice.isUsable =
+                    this->report->version > 0 && !this->report->isBusy && !this->isOrdering;
             notice.model = this->report->model;
             notice.version = this->report->version;
             notice.queued = this->report->queued;
@@ -348,16 +348,16 @@
                          [this, version](const CallResult &result) {
                              if (version != this->staging.target())
                                  return;
-                             const auto manifest = result.isGood()
-                                                           ? this->dialect.parseManifest(result.body)
-                                                           : std::nullopt;
+                             const auto manifest =
+                                     result.isGood() ? this->dialect.parseManifest(result.body)
+                                                     : std::nullopt;
                              const bool isTaken = manifest && manifest->version == version
                                                   && manifest->digests.size() == this->spec->chunks;
                              if (isTaken)
                                  this->digests = manifest->digests;
                              else
-                                 logWarn("manifest was not taken", { { "version", version },
-                                                                     { "status", result.status } });
+                                 logWarn("manifest was not taken",
+                                         { { "version", version }, { "status", result.status } });
                              this->staging.onManifest(isTaken, bootNow());
                          });
     }
@@ -465,15 +465,14 @@
     void readPiece(std::size_t piece, const std::function<void(const PieceRead &)> &done)
     {
         const std::uint64_t version = this->staging.target();
-        this->callEngine({ .method = "GET",
-                           .target = this->dialect.getTarget(this->spec->model, piece) },
-                         kLocalTimeout, [this, piece, version, done](const CallResult &result) {
-                             const bool isWhole = version == this->staging.target()
-                                                  && result.isGood()
-                                                  && this->isPiece(piece, result.body);
-                             done({ .isAnswered = result.isWhole,
-                                    .bytes = isWhole ? result.body : std::string() });
-                         });
+        this->callEngine(
+                { .method = "GET", .target = this->dialect.getTarget(this->spec->model, piece) },
+                kLocalTimeout, [this, piece, version, done](const CallResult &result) {
+                    const bool isWhole = version == this->staging.target() && result.isGood()
+                                         && this->isPiece(piece, result.body);
+                    done({ .isAnswered = result.isWhole,
+                           .bytes = isWhole ? result.body : std::string() });
+                });
     }
 
     bool isPiece(std::size_t piece, const std::string &bytes) const
@@ -493,8 +492,8 @@
                 return this->staging.onReadBackUnanswered(now);
             if (!whole.full()) {
                 this->damaged += whole.size() - whole.count();
-                logWarn("staged weights are damaged", { { "version", this->staging.target() },
-                                                        { "whole", whole.count() } });
+                logWarn("staged weights are damaged",
+                        { { "version", this->staging.target() }, { "whole", whole.count() } });
                 this->swarm->start(whole.size(), whole, 1, now);
             }
             this->staging.onReadBack(whole.full(), now);
@@ -516,8 +515,8 @@
                              const OrderOutcome outcome =
                                      result.isWhole ? this->dialect.readOrderStatus(result.status)
                                                     : OrderOutcome::unknown;
-                             logInfo("order was answered", { { "status", result.status },
-                                                             { "whole", result.isWhole } });
+                             logInfo("order was answered",
+                                     { { "status", result.status }, { "whole", result.isWhole } });
                              this->isOrdering = false;
                              if (outcome != OrderOutcome::refused && this->report)
                                  this->report->isBusy = true;
@@ -591,20 +590,19 @@
             return this->fetchFromOrigin(action.chunk);
         case SwarmAction::Kind::fetchFromPeer:
             this->chunkReads[action.chunk] = action.peer;
-            this->hub.send(action.peer, Channel::bulk,
-                           BlockRequest{ .version = version,
-                                         .chunk = static_cast<std::uint32_t>(action.chunk),
-                                         .size = static_cast<std::uint32_t>(
-                                                 this->spec->chunkBytes) });
+            this->hub.send(
+                    action.peer, Channel::bulk,
+                    BlockRequest{ .version = version,
+                                  .chunk = static_cast<std::uint32_t>(action.chunk),
+                                  .size = static_cast<std::uint32_t>(this->spec->chunkBytes) });
             return;
         case SwarmAction::Kind::cancel:
             this->chunkReads.erase(action.chunk);
             return;
         case SwarmAction::Kind::sendHave:
-            this->hub.send(action.peer, Channel::control,
-                           Have{ .endpoint = endpoint,
-                                 .version = version,
-                                 .chunks = action.chunks });
+            this->hub.send(
+                    action.peer, Channel::control,
+                    Have{ .endpoint = endpoint, .version = version, .chunks = action.chunks });
             return;
         case SwarmAction::Kind::sendProgress:
             this->hub.send(
@@ -643,12 +641,13 @@
     void fetchFromOrigin(std::size_t piece)
     {
         const std::string version = this->versionName();
-        this->callOrigin(this->dialect.pieceTarget(this->spec->model, this->staging.target(), piece),
-                         [this, piece, version](const CallResult &result) {
-                             this->originBytes += result.body.size();
-                             if (this->isCurrent(version))
-                                 this->take(piece, result.isGood() ? result.body : "");
-                         });
+        this->callOrigin(
+                this->dialect.pieceTarget(this->spec->model, this->staging.target(), piece),
+                [this, piece, version](const CallResult &result) {
+                    this->originBytes += result.body.size();
+                    if (this->isCurrent(version))
+                        this->take(piece, result.isGood() ? result.body : "");
+                });
     }
 
     void onPiece(const std::string &peer, const BlockReply &reply)
@@ -765,8 +764,8 @@
         auto pending = std::make_shared<Pending>();
         pending->done = std::move(done);
         pending->deadline = bootNow() + timeout;
-        std::string head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + to.text()
-                           + "\r\n";
+        std::string head =
+                call.method + " " + call.target + " HTTP/1.1\r\nHost: " + to.text() + "\r\n";
         if (call.method != "GET")
             head += "Content-Type: application/json\r\nContent-Length: "
                     + std::to_string(call.body.size()) + "\r\n";
--- a/src/staging.h
+++ b/src/staging.h
@@ -10,10 +10,10 @@
 struct StagingOptions
 {
     Milliseconds bound{ 8s };          ///< time in which a named version is to be served
-    Milliseconds lastLead{ 800ms };     ///< the last engine loads this long before the bound ends
-    Milliseconds retry{ 300ms };        ///< after a failure
-    Milliseconds verifiedFor{ 700ms };  ///< pieces read back longer ago are read back again
-    Milliseconds orderPatience{ 1s };   ///< time for an order to show in the engine's report
+    Milliseconds lastLead{ 800ms };    ///< the last engine loads this long before the bound ends
+    Milliseconds retry{ 300ms };       ///< after a failure
+    Milliseconds verifiedFor{ 700ms }; ///< pieces read back longer ago are read back again
+    Milliseconds orderPatience{ 1s };  ///< time for an order to show in the engine's report
 };
 
 /// What an engine says of itself.
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -161,9 +161,9 @@
                .maxConnections = bound > 0 ? std::max(2U, static_cast<std::uint32_t>(share)) : 256,
                .expectedFirst = std::chrono::ceil<Milliseconds>(best.expected),
                .load = best.load,
-               .noticeAge = upstream.noticed ? std::chrono::floor<Milliseconds>(
-                                    now - upstream.noticedAt)
-                                             : 0ms };
+               .noticeAge = upstream.noticed
+                                    ? std::chrono::floor<Milliseconds>(now - upstream.noticedAt)
+                                    : 0ms };
     return choice;
 }
 
@@ -188,8 +188,7 @@
     if (query.preferredVersion <= query.leastVersion)
         return query.leastVersion;
     const bool isThere = std::ranges::any_of(this->upstreams, [&](const auto &each) {
-        return each.second.record.service == query.service
-               && this->isAllowed(each.second, query)
+        return each.second.record.service == query.service && this->isAllowed(each.second, query)
                && this->servesVersion(each.second, query, query.preferredVersion, now);
     });
     return isThere ? query.preferredVersion : query.leastVersion;
@@ -221,8 +220,7 @@
 }
 
 UpstreamChoice::Candidate UpstreamChoice::weighEngine(const std::string &id, Upstream &upstream,
-                                                      const ChoiceQuery &query,
-                                                      TimePoint now) const
+                                                      const ChoiceQuery &query, TimePoint now) const
 {
     const EngineModel model(*query.plan->engine);
     EngineLoad load{ .active = static_cast<double>(upstream.inFlight) * this->gateways };
@@ -261,11 +259,9 @@
         expected += this->options.plainFarther;
     if (upstream.record.isQuiet)
         expected += kQuietPenalty;
-    return { .id = &id,
-             .upstream = &upstream,
-             .load = load,
-             .expected = expected,
-             .cost = expected };
+    return {
+        .id = &id, .upstream = &upstream, .load = load, .expected = expected, .cost = expected
+    };
 }
 
 /// Draws by weight.
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -16,27 +16,27 @@
 {
     std::string zone;                           ///< own availability zone
     std::map<std::string, std::string> regions; ///< of availability zones
-    double connectionShare{ 0.9 }; ///< of an upstream's connections, used by all gateways
+    double connectionShare{ 0.9 };      ///< of an upstream's connections, used by all gateways
     Milliseconds noticeLimit{ 1500ms }; ///< age from which a load notice tells nothing
     /// What another zone costs: more than its way there and back, since links
     /// between regions are thin and notices from there are older.
     Milliseconds farther{ 50ms };
     Milliseconds plainFarther{ 6ms }; ///< the same for plain services: the way alone
-    Milliseconds spread{ 40ms };        ///< differences in prediction that count little
+    Milliseconds spread{ 40ms };      ///< differences in prediction that count little
 };
 
 /// What is asked for.
 struct ChoiceQuery
 {
     std::string service;
-    const PlanService *plan{ nullptr };      ///< of that service
+    const PlanService *plan{ nullptr }; ///< of that service
     double promptTokens{ 0 };
     const std::vector<std::string> *routeRegions{ nullptr };    ///< allowed; empty: all
     const std::vector<std::string> *customerRegions{ nullptr }; ///< allowed besides
     std::set<std::string> excluded;          ///< upstreams that have failed the request
     std::uint64_t leastVersion{ 0 };         ///< of the weights
     std::uint64_t exactVersion{ 0 };         ///< of the weights, 0 for any
-    std::uint64_t preferredVersion{ 0 }; ///< of the weights; older only where none has it
+    std::uint64_t preferredVersion{ 0 };     ///< of the weights; older only where none has it
     std::optional<Milliseconds> firstWithin; ///< a later first token is of no use
     bool mayRunTwice{ true };
 };
--- a/src/view_reader.h
+++ b/src/view_reader.h
@@ -11,7 +11,7 @@
 
 struct ViewReaderHandlers
 {
-    std::function<void()> stateChanged;                                  ///< operators' state
+    std::function<void()> stateChanged; ///< operators' state
     std::function<void(const UpstreamRecord &record)> upstreamChanged;
 };
 
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -29,7 +29,8 @@
 class HttpPoolTest : public testing::Test
 {
 protected:
-    HttpPoolTest() : pool(1), acceptor(this->serverContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    HttpPoolTest()
+        : pool(1), acceptor(this->serverContext, { asio::ip::make_address("127.0.0.1"), 0 })
     {
         this->onThread([this] { this->calls = std::make_unique<HttpPool>(this->pool.context()); });
     }
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -7,7 +7,6 @@
 
 using namespace egret;
 
-
 TEST(HttpReader, StopsAfterTheLastByteOfAMessage)
 {
     HttpReader reader({ .side = HttpSide::response });
--- a/tests/numbered_events_test.cpp
+++ b/tests/numbered_events_test.cpp
@@ -46,7 +46,8 @@
 {
     NumberedEvents events;
     EXPECT_EQ(events.take(": hello\n\n"), ": hello\n\n");
-    EXPECT_EQ(events.take("weight-versions: 2\nid: 4\r\n\r\n"), "weight-versions: 2\nid: 4\r\n\r\n");
+    EXPECT_EQ(events.take("weight-versions: 2\nid: 4\r\n\r\n"),
+              "weight-versions: 2\nid: 4\r\n\r\n");
     EXPECT_EQ(events.lastNumber(), 4U);
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -15,29 +15,42 @@
 
 Json routeJson(const std::string &name, const std::string &prefix)
 {
-    return { { "name", name },        { "host", "h.example" },  { "pathPrefix", prefix },
-             { "kind", "idempotent" }, { "timeoutMs", 800 },     { "latencyGoalMs", 100 },
-             { "priority", 2 },        { "service", "core" },    { "maxAttempts", 2 },
-             { "public", false },      { "resumable", false },   { "allowedRegions", Json::array() } };
+    return {
+        { "name", name },         { "host", "h.example" }, { "pathPrefix", prefix },
+        { "kind", "idempotent" }, { "timeoutMs", 800 },    { "latencyGoalMs", 100 },
+        { "priority", 2 },        { "service", "core" },   { "maxAttempts", 2 },
+        { "public", false },      { "resumable", false },  { "allowedRegions", Json::array() }
+    };
 }
 
 Json configJson()
 {
-    return { { "version", 7 },
-             { "routes", { routeJson("a", "/a/"), routeJson("ab", "/a/b/") } },
-             { "services",
-               { { { "name", "core" }, { "maxConnections", 51 }, { "unknownField", 1 } },
-                 { { "name", "origin" }, { "origin", "172.20.0.3:8006" }, { "maxConnections", 48 } } } },
-             { "limits", { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 },
-                           { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } },
-             { "tenants", { { { "name", "t" }, { "apiKeys", { "k1", "k2" } }, { "priority", 1 } } } } };
+    return {
+        { "version", 7 },
+        { "routes", { routeJson("a", "/a/"), routeJson("ab", "/a/b/") } },
+        { "services",
+          { { { "name", "core" }, { "maxConnections", 51 }, { "unknownField", 1 } },
+            { { "name", "origin" }, { "origin", "172.20.0.3:8006" }, { "maxConnections", 48 } } } },
+        { "limits",
+          { { "maxHeaderBytes", 16384 },
+            { "maxBodyBytes", 4194304 },
+            { "headerTimeoutMs", 3000 },
+            { "idleTimeoutMs", 15000 } } },
+        { "tenants", { { { "name", "t" }, { "apiKeys", { "k1", "k2" } }, { "priority", 1 } } } }
+    };
 }
 
 Json beatJson()
 {
-    return { { "service", "llm" }, { "address", "10.0.0.9:8080" }, { "zone", "a" },
-             { "version", "v1" },  { "slots", 16 },                { "state", "ready" },
-             { "coldRemainingMs", 1500 }, { "sequence", 4 },       { "born", 1700000000000ULL },
+    return { { "service", "llm" },
+             { "address", "10.0.0.9:8080" },
+             { "zone", "a" },
+             { "version", "v1" },
+             { "slots", 16 },
+             { "state", "ready" },
+             { "coldRemainingMs", 1500 },
+             { "sequence", 4 },
+             { "born", 1700000000000ULL },
              { "models", { { { "name", "m" }, { "version", 2 }, { "adapters", Json::array() } } } },
              { "layers", { { { "source", 0 }, { "to", 16 }, { "version", 2 } } } } };
 }
@@ -107,7 +120,8 @@
     EXPECT_EQ(record->version, 2U);
     EXPECT_EQ(record->model, "m");
     EXPECT_EQ(record->coldFor, 1500ms);
-    for (const char *field : { "service", "address", "zone", "slots", "state", "sequence", "born" }) {
+    for (const char *field :
+         { "service", "address", "zone", "slots", "state", "sequence", "born" }) {
         Json missing = beatJson();
         missing.erase(field);
         EXPECT_FALSE(platform::parseAnnouncement("i-1", missing.dump(), problem)) << field;
@@ -169,9 +183,8 @@
     EXPECT_EQ(headerValue(headers, platform::kPath), "");
     EXPECT_EQ(headerValue(headers, "X-Hop"), "");
     EXPECT_EQ(headerValue(headers, "X-Kept"), "2");
-    EXPECT_EQ(std::ranges::count_if(headers,
-                                    [](const auto &each) {
-                                        return sameHeader(each.first, platform::kTenant);
-                                    }),
+    EXPECT_EQ(std::ranges::count_if(
+                      headers,
+                      [](const auto &each) { return sameHeader(each.first, platform::kTenant); }),
               1);
 }
--- a/tests/upstream_choice_test.cpp
+++ b/tests/upstream_choice_test.cpp
@@ -37,8 +37,7 @@
 class UpstreamChoiceTest : public testing::Test
 {
 protected:
-    UpstreamChoiceTest()
-        : choice({ .zone = "a", .regions = { { "a", "ra" }, { "b", "rb" } } }, 1)
+    UpstreamChoiceTest() : choice({ .zone = "a", .regions = { { "a", "ra" }, { "b", "rb" } } }, 1)
     {}
 
     UpstreamRecord record(int engine, const std::string &zone = "a") const
@@ -69,10 +68,9 @@
 
     ChoiceQuery query() const
     {
-        return { .service = "llm",
-                 .plan = &this->service,
-                 .promptTokens = 979,
-                 .firstWithin = 400ms };
+        return {
+            .service = "llm", .plan = &this->service, .promptTokens = 979, .firstWithin = 400ms
+        };
     }
 
     std::map<std::string, int> drawn(const ChoiceQuery &query, int times = 200)
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -139,10 +139,12 @@
 TEST(ViewState, ADocumentNeverGoesBack)
 {
     ViewState state({ .instance = "g", .lease = 4s });
-    View newer{ .incarnation = 1, .state = { .index = 9, .texts = { { kDocumentText, 4, "four" } } },
+    View newer{ .incarnation = 1,
+                .state = { .index = 9, .texts = { { kDocumentText, 4, "four" } } },
                 .hasState = true };
     EXPECT_TRUE(state.take("r1", newer, kStart).state);
-    View older{ .incarnation = 2, .state = { .index = 5, .texts = { { kDocumentText, 3, "three" } } },
+    View older{ .incarnation = 2,
+                .state = { .index = 5, .texts = { { kDocumentText, 3, "three" } } },
                 .hasState = true };
     EXPECT_FALSE(state.take("r2", older, kStart).state);
     EXPECT_EQ(state.number(kDocumentText), 4U);
