--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -215,6 +215,7 @@
     void addSeeds(const std::vector<std::string> &seeds)
     {
         std::vector<std::string> endpoints;
+        endpoints.reserve(seeds.size());
         for (const std::string &seed : seeds)
             endpoints.push_back(linkEndpointOf(this->settings, seed));
         this->reader.addRegistries(endpoints);
@@ -423,6 +424,7 @@
     const PlanService *pickService(const Exchange &exchange)
     {
         std::vector<double> weights;
+        weights.reserve(exchange.route->targets.size());
         for (const PlanTarget &target : exchange.route->targets)
             weights.push_back(target.weight);
         std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -375,7 +375,9 @@
     const bool isOneSilent = std::ranges::any_of(
             known, [&](const QuorumMember &each) { return this->isSilent(each, now); });
     const std::size_t places = this->options.wantedVoters + (isOneSilent ? 1 : 0);
-    for (const auto &[endpoint, greeting] : this->greetings) {
+    for (const auto &greeter : this->greetings) {
+        const std::string &endpoint = greeter.first;
+        const Greeting &greeting = greeter.second;
         if (now > greeting.at + kGreetingValid || this->member(greeting.folder) != nullptr)
             continue;
         const bool isReplacement =
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -47,7 +47,7 @@
         services.insert(service.name);
     std::set<std::pair<std::string, std::string>> places;
     for (const PlanRoute &route : plan.routes) {
-        const std::string fault = routeFault(route, services);
+        std::string fault = routeFault(route, services);
         if (!fault.empty())
             return fault;
         if (!places.emplace(hostKey(route.host), route.prefix).second)
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -135,6 +135,7 @@
     void addSeeds(const std::vector<std::string> &seeds)
     {
         std::vector<std::string> endpoints;
+        endpoints.reserve(seeds.size());
         for (const std::string &seed : seeds)
             endpoints.push_back(linkEndpointOf(this->settings, seed));
         this->reader.addRegistries(endpoints);
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -268,6 +268,7 @@
 const UpstreamChoice::Candidate &UpstreamChoice::draw(const std::vector<Candidate> &candidates)
 {
     std::vector<double> weights;
+    weights.reserve(candidates.size());
     for (const Candidate &candidate : candidates)
         weights.push_back(candidate.weight);
     std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
--- /dev/null
+++ b/tests/calm_day_test.cpp
@@ -0,0 +1,284 @@
+#include "standin/deployment.h"
+
+#include "engine_words.h"
+#include "gateway.h"
+#include "http_front.h"
+#include "loopback.h"
+#include "names.h"
+#include "registry_calls.h"
+#include "registry_node.h"
+#include "stager.h"
+#include "standin_words.h"
+
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <future>
+#include <thread>
+
+using namespace egret;
+
+namespace {
+
+constexpr Seconds kStartLimit{ 15 };
+constexpr Seconds kStepLimit{ 10 };
+constexpr std::uint32_t kZones = 3;
+
+/// A registry instance with the platform's calls in front of it.
+struct TestRegistry
+{
+    explicit TestRegistry(const NodeSettings &settings)
+        : node(settings), calls(node),
+          front(std::make_unique<HttpFront>(
+                  node.context(),
+                  HttpFrontOptions{ .listen = *Endpoint::parse(settings.operatorAddress),
+                                    .bounds = { .maxBodyBytes = 1U << 20U } },
+                  [this](HttpRequest &&request, const FrontReplyPtr &reply) {
+                      this->calls.handle(request, reply);
+                  }))
+    {
+        std::string problem;
+        this->started = this->node.start(problem);
+        std::promise<void> done;
+        asio::post(this->node.context(), [&] {
+            Reason<std::error_code> reason;
+            this->started = this->front->start(reason) && this->started;
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+    ~TestRegistry()
+    {
+        std::promise<void> done;
+        asio::post(this->node.context(), [&] {
+            this->front.reset();
+            done.set_value();
+        });
+        done.get_future().wait();
+        this->node.stop();
+    }
+    TestRegistry(const TestRegistry &) = delete;
+    TestRegistry &operator=(const TestRegistry &) = delete;
+
+    RegistryNode node;
+    platform::RegistryCalls calls;
+    std::unique_ptr<HttpFront> front;
+    bool started{ false };
+};
+
+/// The whole system against the stand-in deployment, in one process.
+class CalmDay : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        std::string name = testing::TempDir() + "calm-day-XXXXXX";
+        this->folder = mkdtemp(name.data());
+        const auto port = [] { return freeLoopback("127.0.0.1").port; };
+        this->deployment = std::make_unique<Deployment>(DeploymentOptions{
+                .linkPort = port(),
+                .operatorPort = port(),
+                .clientPort = port(),
+                .upstreamPort = port(),
+                .zones = kZones,
+        });
+        ASSERT_TRUE(this->deployment->start());
+        for (std::uint32_t i = 0; i < kZones; ++i) {
+            this->registries.push_back(std::make_unique<TestRegistry>(
+                    this->deployment->registry(i, this->folder + "/" + std::to_string(i))));
+            ASSERT_TRUE(this->registries.back()->started);
+        }
+        std::string problem;
+        for (std::uint32_t i = 0; i < kZones; ++i) {
+            this->gateways.push_back(std::make_unique<Gateway>(this->deployment->gateway(i),
+                                                               platform::gatewayDialect()));
+            ASSERT_TRUE(this->gateways.back()->start(problem)) << problem;
+        }
+        for (std::uint32_t i = 0; i < this->deployment->engines(); ++i) {
+            this->stagers.push_back(std::make_unique<Stager>(this->deployment->stager(i),
+                                                             platform::stagerDialect()));
+            ASSERT_TRUE(this->stagers.back()->start(problem)) << problem;
+        }
+    }
+
+    void TearDown() override
+    {
+        for (const auto &stager : this->stagers)
+            stager->stop();
+        for (const auto &gateway : this->gateways)
+            gateway->stop();
+        this->registries.clear();
+        this->deployment.reset();
+        std::filesystem::remove_all(this->folder);
+    }
+
+    static bool eventually(Seconds limit, const std::function<bool()> &holds)
+    {
+        const TimePoint end = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < end) {
+            if (holds())
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return holds();
+    }
+
+    /// Puts a document in force; any instance takes it.
+    bool put(std::uint32_t registry, std::uint64_t number, const std::string &key)
+    {
+        return eventually(kStartLimit, [&] {
+            return this->deployment
+                           ->call(registry, "POST", platform::kReplaceConfig,
+                                  platform::configText(this->deployment->plan(number, key)))
+                           .status
+                   == 200;
+        });
+    }
+
+    bool allServe(std::uint64_t version)
+    {
+        return eventually(kStartLimit, [&] {
+            for (std::uint32_t i = 0; i < this->deployment->engines(); ++i) {
+                if (this->deployment->engineRuns(i).loadedVersion != version)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    bool ready()
+    {
+        return eventually(kStartLimit, [&] {
+            for (std::uint32_t i = 0; i < kZones; ++i) {
+                const auto answer = this->deployment->request(
+                        i, kStreamPath, "probe-" + std::to_string(++this->probes), "key");
+                if (answer.status != 200)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    std::string folder;
+    std::unique_ptr<Deployment> deployment;
+    std::vector<std::unique_ptr<TestRegistry>> registries;
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    std::vector<std::unique_ptr<Stager>> stagers;
+    int probes{ 0 };
+};
+
+} // namespace
+
+TEST_F(CalmDay, IsServedWholeWhileWeightsKeysAndZonesChange)
+{
+    // Step 1. Before a document is in force nothing is promised and nothing is denied.
+    EXPECT_EQ(this->deployment->request(0, kActionPath, "early", "key").status, 503);
+    ASSERT_TRUE(this->put(0, 4, "key"));
+    ASSERT_TRUE(this->allServe(1));
+    ASSERT_TRUE(this->ready());
+
+    // Step 2. Requests of each kind, from several clients at once.
+    std::vector<std::future<int>> clients;
+    for (std::uint32_t client = 0; client < kZones; ++client) {
+        clients.push_back(std::async(std::launch::async, [this, client] {
+            int wrong = 0;
+            for (int i = 0; i < 15; ++i) {
+                const std::string id = std::to_string(client) + "-" + std::to_string(i);
+                const auto stream = this->deployment->request(client, kStreamPath, "s" + id, "key");
+                const bool isWhole = stream.isWhole && stream.body == expectedStream(0);
+                wrong += stream.status == 200 && isWhole ? 0 : 1;
+                const auto act = this->deployment->request(client, kActionPath, "a" + id, "key");
+                wrong += act.status == 200 && act.body == "/act/1 done" ? 0 : 1;
+                const auto read =
+                        this->deployment->request(client, kReadPath, "r" + id, "key", false);
+                wrong += read.status == 200 ? 0 : 1;
+            }
+            return wrong;
+        }));
+    }
+    // Step 3. New weights meanwhile; a staged piece turns bad.
+    ASSERT_EQ(
+            this->deployment->call(1, "POST", platform::kPutVersion, platform::versionBody("m", 2))
+                    .status,
+            200);
+    this->deployment->rot(1, 3);
+    for (auto &client : clients)
+        EXPECT_EQ(client.get(), 0);
+    EXPECT_TRUE(this->allServe(2));
+    for (std::uint32_t i = 0; i < this->deployment->engines(); ++i) {
+        EXPECT_EQ(this->deployment->engineRuns(i).badLoads, 0U);
+        EXPECT_EQ(this->deployment->engineRuns(i).withKey, 0U);
+    }
+    for (std::uint32_t i = 0; i < kZones; ++i) {
+        for (const auto &[id, count] : this->deployment->serviceRuns(i).runs)
+            EXPECT_TRUE(!id.starts_with("a") || count == 1) << id;
+    }
+    // One copy a version, and a little for pieces that came twice.
+    EXPECT_LE(this->deployment->originBytes(), 3 * this->deployment->copyBytes());
+
+    // Step 4. What is invalid changes nothing; a lower number is accepted and changes nothing.
+    auto bad = this->deployment->plan(9, "key");
+    bad.routes.front().targets.front().service = "none";
+    EXPECT_EQ(this->deployment->call(0, "POST", platform::kReplaceConfig, platform::configText(bad))
+                      .status,
+              400);
+    ASSERT_TRUE(this->put(2, 3, "other"));
+    const auto held = this->deployment->call(1, "GET", platform::kReadConfig);
+    EXPECT_EQ(held.status, 200);
+    EXPECT_EQ(held.body, platform::configText(this->deployment->plan(4, "key")));
+
+    // Step 5. A revoked key is refused everywhere within the bound.
+    ASSERT_TRUE(this->put(1, 6, "new"));
+    EXPECT_TRUE(eventually(3s, [&] {
+        for (std::uint32_t i = 0; i < kZones; ++i) {
+            const std::string id = "revoked" + std::to_string(++this->probes);
+            if (this->deployment->request(i, kReadPath, id, "key", false).status != 401)
+                return false;
+        }
+        return true;
+    }));
+
+    // Step 6. A zone that is out gets nothing new.
+    ASSERT_TRUE(eventually(kStepLimit, [&] {
+        return this->deployment->call(2, "POST", std::string(platform::kBeginEvacuation) + "z1")
+                       .status
+               == 200;
+    }));
+    std::this_thread::sleep_for(300ms);
+    const auto before = this->deployment->serviceRuns(1).runs.size();
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(this->deployment->request(1, kReadPath, "out" + std::to_string(i), "new", false)
+                          .status,
+                  200);
+    EXPECT_EQ(this->deployment->serviceRuns(1).runs.size(), before);
+}
+
+TEST_F(CalmDay, AKeyIsNotHonouredByAGatewayThatIsCutOffFromAMajority)
+{
+    ASSERT_TRUE(this->put(0, 4, "key"));
+    ASSERT_TRUE(this->allServe(1));
+    ASSERT_TRUE(this->ready());
+    this->registries.erase(this->registries.begin(), this->registries.begin() + 2);
+    EXPECT_TRUE(eventually(kStepLimit, [&] {
+        const std::string id = "late" + std::to_string(++this->probes);
+        return this->deployment->request(0, kReadPath, id, "key", false).status == 503;
+    }));
+    EXPECT_FALSE(this->gateways[0]->isReady());
+}
+
+TEST_F(CalmDay, APlannedStopCutsNothingOff)
+{
+    ASSERT_TRUE(this->put(0, 4, "key"));
+    ASSERT_TRUE(this->allServe(1));
+    ASSERT_TRUE(this->ready());
+    auto stream = std::async(std::launch::async, [this] {
+        return this->deployment->request(0, kStreamPath, "last", "key");
+    });
+    std::this_thread::sleep_for(30ms);
+    EXPECT_TRUE(this->gateways[0]->drain());
+    const auto answer = stream.get();
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, expectedStream(0));
+    EXPECT_FALSE(this->gateways[0]->isReady());
+}
