Tell since when a version of weights is named; load engines of all zones by turns

CalmDay failed when three ran at once: with one engine a zone all of them loaded at the same moment and 503 was all there was to answer. Change: each registry that saw a text put in force says for how long; a gateway takes the longest. Engines take turns over all zones. Ruled out: the time of day in the log (it jumps by seconds); load of the machine (the log of the failing test shows three engines closed at once). Test: ViewState.AnyRegistryThatSawATextPutInForceTellsSinceWhen.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -298,14 +298,12 @@
     {
         const OperatorState &state = this->reader.view().state();
         this->upstreams.setZonesOut(state.zonesOut);
-        const TimePoint now = bootNow();
         for (const NumberedText &text : state.texts) {
             if (text.name == kDocumentText)
                 this->takeDocument(text);
             else if (text.name.starts_with(kWeightsTextPrefix))
-                this->takeVersion(text, now);
+                this->takeVersion(text);
         }
-        this->sawState = true;
     }
 
     void takeDocument(const NumberedText &text)
@@ -324,19 +322,21 @@
                                           { "index", this->reader.view().state().index } });
     }
 
-    /// Notes a version. Which was named while this instance was not there, or
-    /// when, is not known: it is preferred from the start.
-    void takeVersion(const NumberedText &text, TimePoint now)
+    /// Notes a version and when it is due. One named at a time that nobody knows
+    /// any more is preferred instead.
+    void takeVersion(const NumberedText &text)
     {
         WeightsTargets &model =
                 this->targets[text.name.substr(std::string_view(kWeightsTextPrefix).size())];
-        if (text.number <= model.newest)
-            return;
-        model.newest = text.number;
-        if (!this->sawState)
+        const auto namedAt = this->reader.view().namedAt(text.name);
+        if (namedAt) {
+            model.dueAt[text.number] = *namedAt + this->settings.bounds.version - kVersionMargin;
+            model.preferred = 0;
+        } else {
             model.preferred = text.number;
-        model.dueAt[text.number] = now + this->settings.bounds.version - kVersionMargin;
-        logInfo("weights version is named", { { "text", text.name }, { "number", text.number } });
+        }
+        logInfo("weights version is named",
+                { { "text", text.name }, { "number", text.number }, { "timeKnown", !!namedAt } });
     }
 
     void onUpstream(const UpstreamRecord &record)
@@ -860,7 +860,6 @@
     /// Versions of a model's weights that must be served from some time on.
     struct WeightsTargets
     {
-        std::uint64_t newest{ 0 };
         std::uint64_t preferred{ 0 };             ///< named at a time that is not known
         std::map<std::uint64_t, TimePoint> dueAt; ///< older ones get no request from then on
 
@@ -887,8 +886,7 @@
     HttpFront front;
     PlanIndexPtr plan;
     std::map<std::string, WeightsTargets> targets; ///< by model
-    bool sawState{ false };
-    std::map<std::string, RetryBudget> budgets; ///< by service
+    std::map<std::string, RetryBudget> budgets;    ///< by service
     std::uint32_t budgetGateways{ 0 };
     std::set<ExchangePtr> exchanges;
     std::mt19937_64 random{ randomSeed() };
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -28,6 +28,8 @@
 /// to another instance, which it does after a second.
 constexpr Milliseconds kCallRetry = 150ms;
 constexpr Milliseconds kCallLimit = 900ms;
+/// Time after the start in which the log may still be read again.
+constexpr Milliseconds kReplayLimit = 3s;
 constexpr const char *kNotLeader = "not-leader";
 constexpr const char *kUnavailable = "unavailable";
 
@@ -239,8 +241,7 @@
         const NumberedText document = this->document();
         view.documentNumber = document.number;
         const bool sendsDocument = reader.wantsDocument && document.number > reader.documentNumber;
-        if (view.hasState)
-            view.state = this->stateWithoutDocument();
+        view.state = this->stateWithoutDocument(now);
         if (sendsDocument)
             view.state.texts.push_back(document);
         if (!reader.link->send(view))
@@ -256,12 +257,18 @@
         return found == this->state->texts.end() ? NumberedText{} : *found;
     }
 
-    OperatorState stateWithoutDocument() const
+    /// The operators' state but for the document, with the age of each text.
+    OperatorState stateWithoutDocument(TimePoint now) const
     {
         OperatorState rest{ .index = this->state->index, .zonesOut = this->state->zonesOut };
         for (const NumberedText &text : this->state->texts) {
-            if (text.name != kDocumentText)
-                rest.texts.push_back(text);
+            if (text.name == kDocumentText)
+                continue;
+            rest.texts.push_back(text);
+            const auto seen = this->seenAt.find(text.name);
+            if (seen != this->seenAt.end() && seen->second.first == text.number)
+                rest.texts.back().knownFor = std::max<Milliseconds>(
+                        1ms, std::chrono::floor<Milliseconds>(now - seen->second.second));
         }
         return rest;
     }
@@ -292,6 +299,7 @@
         const OperatorState applied = this->node.operatorState();
         if (applied.index == this->state->index)
             return;
+        this->noteTimes(applied);
         this->state = std::make_shared<const OperatorState>(applied);
         for (const NumberedText &text : this->state->texts)
             logInfo("operators' state changed", { { "text", text.name },
@@ -300,6 +308,20 @@
         this->pushViews();
     }
 
+    /// Notes when texts were put in force. What is applied soon after the start
+    /// may be old: it is read from the log again.
+    void noteTimes(const OperatorState &applied)
+    {
+        const TimePoint now = bootNow();
+        for (const NumberedText &text : applied.texts) {
+            const auto before =
+                    std::ranges::find(this->state->texts, text.name, &NumberedText::name);
+            const bool isNews = before == this->state->texts.end() || before->number != text.number;
+            if (isNews && now > this->startedAt + kReplayLimit)
+                this->seenAt[text.name] = { text.number, now };
+        }
+    }
+
     /// Has a majority confirm that the state at hand is current.
     void confirm()
     {
@@ -430,6 +452,8 @@
     std::map<std::string, Reader> readers; ///< by instance
     std::set<std::string> others;          ///< link addresses of registry instances
     std::shared_ptr<const OperatorState> state{ std::make_shared<const OperatorState>() };
+    const TimePoint startedAt{ bootNow() };
+    std::map<std::string, std::pair<std::uint64_t, TimePoint>> seenAt; ///< by text: number, time
     std::optional<TimePoint> confirmedAt;
     std::map<std::uint64_t, PendingCall> calls;
     std::uint64_t lastCall{ 0 };
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -557,20 +557,27 @@
         this->staging.setTurn(this->turn());
     }
 
-    /// Place of this engine among those of its zone, from 0 to 1.
+    /// Place of this engine among all of its service, from 0 to 1, zones by turns.
     double turn() const
     {
-        std::set<std::string> zone;
+        std::map<std::string, std::set<std::string>> zones;
+        std::size_t count = 0;
         for (const auto &[id, record] : this->reader.view().upstreams().all()) {
-            if (record.service == this->settings.engineService
-                && record.notice == UpstreamNotice::ready && record.zone == this->settings.zone)
-                zone.insert(record.endpoint);
+            if (record.service != this->settings.engineService
+                || record.notice != UpstreamNotice::ready)
+                continue;
+            count += zones[record.zone].insert(record.endpoint).second ? 1 : 0;
         }
-        const auto own = zone.find(this->settings.engineAddress);
-        if (own == zone.end() || zone.size() < 2)
+        const auto zone = zones.find(this->settings.zone);
+        if (zone == zones.end() || !zone->second.contains(this->settings.engineAddress)
+            || count < 2)
             return 0;
-        return static_cast<double>(std::distance(zone.begin(), own))
-               / static_cast<double>(zone.size() - 1);
+        const auto inZone = std::distance(zone->second.begin(),
+                                          zone->second.find(this->settings.engineAddress));
+        const auto zoneRank = std::distance(zones.begin(), zone);
+        const double place = static_cast<double>(inZone) * static_cast<double>(zones.size())
+                             + static_cast<double>(zoneRank);
+        return std::min(1.0, place / static_cast<double>(count - 1));
     }
 
     void runSwarm(TimePoint now)
--- a/src/view_state.cpp
+++ b/src/view_state.cpp
@@ -43,10 +43,9 @@
         changes.state = true;
     }
     for (const NumberedText &text : view.state.texts) {
-        if (!this->takeText(text))
-            continue;
-        changes.state = true;
-        changes.document = changes.document || text.name == kDocumentName;
+        const bool isNew = this->takeText(text);
+        changes.state = this->takeAge(text, now) || isNew || changes.state;
+        changes.document = changes.document || (isNew && text.name == kDocumentName);
     }
     for (const UpstreamRecord &record : view.upstreams) {
         if (this->records.take(record))
@@ -74,9 +73,27 @@
     if (text.number <= standing->number)
         return false;
     *standing = text;
+    this->namedTimes.erase(text.name);
     return true;
 }
 
+/// Takes the time since a text was put in force; true when it was not known.
+bool ViewState::takeAge(const NumberedText &text, TimePoint now)
+{
+    if (text.knownFor == 0ms || text.number != this->number(text.name))
+        return false;
+    const TimePoint at = now - text.knownFor;
+    const auto [known, isNew] = this->namedTimes.emplace(text.name, at);
+    known->second = std::min(known->second, at);
+    return isNew;
+}
+
+std::optional<TimePoint> ViewState::namedAt(const std::string &text) const
+{
+    const auto found = this->namedTimes.find(text);
+    return found == this->namedTimes.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::uint64_t ViewState::number(const std::string &text) const
 {
     const auto &texts = this->operators.texts;
--- a/src/view_state.h
+++ b/src/view_state.h
@@ -56,6 +56,10 @@
 
     const OperatorState &state() const { return this->operators; }
 
+    /// Time at which the present number of a text was put in force; empty where
+    /// no registry instance that has answered saw that.
+    std::optional<TimePoint> namedAt(const std::string &text) const;
+
     /// Number of a text, 0 for none.
     std::uint64_t number(const std::string &text) const;
 
@@ -76,6 +80,7 @@
     };
 
     bool takeText(const NumberedText &text);
+    bool takeAge(const NumberedText &text, TimePoint now);
 
     static constexpr const char *kDocumentName = "document";
 
@@ -84,6 +89,7 @@
     OperatorState operators;
     UpstreamRecords records;
     std::set<std::string> named;
+    std::map<std::string, TimePoint> namedTimes; ///< by text
     std::uint64_t knownDocument{ 0 };
     std::optional<TimePoint> confirmedUntil;
 };
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -179,3 +179,23 @@
     EXPECT_EQ(state.pull("r1", kStart).change, 3U);
     EXPECT_EQ(state.pull("r1", kStart).receiverIncarnation, 2U);
 }
+
+TEST(ViewState, AnyRegistryThatSawATextPutInForceTellsSinceWhen)
+{
+    ViewState state({ .instance = "g" });
+    View restarted{ .incarnation = 1,
+                    .state = { .index = 3, .texts = { { .name = "weights/m", .number = 2 } } },
+                    .hasState = true };
+    EXPECT_TRUE(state.take("r1", restarted, kStart).state);
+    EXPECT_FALSE(state.namedAt("weights/m"));
+    View witness = restarted;
+    witness.hasState = false;
+    witness.state.texts.front().knownFor = 5s;
+    EXPECT_TRUE(state.take("r2", witness, kStart).state);
+    EXPECT_EQ(state.namedAt("weights/m"), kStart - 5s);
+    EXPECT_FALSE(state.take("r2", witness, kStart).state);
+    View newer = witness;
+    newer.state.texts.front() = { .name = "weights/m", .number = 3 };
+    state.take("r1", newer, kStart + 1s);
+    EXPECT_FALSE(state.namedAt("weights/m"));
+}
