--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -501,9 +501,19 @@
         const TimePoint now = bootNow();
         if (exchange->delivery.attempts() > 0 && !this->budgetOf(exchange->service->name).take())
             return this->act(exchange, exchange->delivery.onNoBudget());
-        const Choice choice = this->upstreams.choose(this->queryOf(*exchange, now, isResume), now);
+        const ChoiceQuery query = this->queryOf(*exchange, now, isResume);
+        const Choice choice = this->upstreams.choose(query, now);
         if (choice.upstream.empty()) {
             exchange->retryAfter = choice.retryAfter;
+            logInfo("no upstream can take the request",
+                    { { "request", exchange->facts.id },
+                      { "reason", noChoiceName(choice.problem) },
+                      { "known", this->upstreams.size() },
+                      { "leastVersion", query.leastVersion },
+                      { "exactVersion", query.exactVersion },
+                      { "firstWithinMs", query.firstWithin.value_or(0ms).count() },
+                      { "expectedMs", choice.expectedFirst.count() },
+                      { "retryAfterMs", choice.retryAfter.count() } });
             return this->act(exchange,
                              exchange->delivery.onNoUpstream(noChoiceName(choice.problem)));
         }
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -244,6 +244,7 @@
         auto answer = std::make_shared<Answer>();
         auto done = std::make_shared<std::promise<void>>();
         auto ended = done->get_future();
+        const TimePoint began = bootNow();
         this->onThread([&] {
             this->calls->start({ .to = to,
                                  .head = head,
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -1,5 +1,6 @@
 #include "standin/standin.h"
 
+#include "standin/calm_day.h"
 #include "standin/engine.h"
 #include "standin/origin.h"
 #include "standin/relay.h"
@@ -51,6 +52,8 @@
         return serveStandin<ServiceStandin>(settings);
     case StandinRole::relay:
         return serveStandin<RelayStandin>(settings);
+    case StandinRole::deployment:
+        return runCalmDay(settings);
     }
     return kExitUsage;
 }
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -12,6 +12,8 @@
 /// Own sends that a notice can't have counted yet: it was read this much
 /// before it came, and requests take a moment to arrive.
 constexpr Milliseconds kNoticeLag = 30ms;
+/// Share of the gateways that are taken to send as this one does.
+constexpr double kAlikeShare = 0.75;
 constexpr Milliseconds kSentKept = 1s;
 /// A refusing upstream is left alone for a moment.
 constexpr Milliseconds kRefusedPause = 100ms;
@@ -228,10 +230,12 @@
         load = { .active = static_cast<double>(upstream.notice.active),
                  .queued = static_cast<double>(upstream.notice.queued),
                  .pace = std::max(1.0, upstream.notice.pace) };
+        // The other gateways see the same and do the same meanwhile.
+        const double alike = std::max(1.0, kAlikeShare * this->gateways);
         for (const Sent &sent : upstream.sent) {
             if (sent.at < upstream.noticedAt - kNoticeLag)
                 continue;
-            load.queued += 1;
+            load.queued += alike;
             load.promptTokens += sent.promptTokens;
         }
     }
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -68,7 +68,8 @@
 /// customer, zone and weights allow, those at which it is answered in time,
 /// drawn by the room that they have left, so that gateways that see the same do
 /// not all choose the same. Answers loads in which engines are full most of the
-/// time. Deterministic given the seed; not thread safe.
+/// time, and those in which one engine comes back while all others are closed.
+/// Deterministic given the seed; not thread safe.
 class UpstreamChoice
 {
 public:
--- a/tests/upstream_choice_test.cpp
+++ b/tests/upstream_choice_test.cpp
@@ -254,3 +254,46 @@
         this->choice.onSent("e1", 0, kStart);
     EXPECT_EQ(this->drawn(query).count("e1"), 0U);
 }
+
+/// The load of a rollout's end: one engine is back, every client asks, and all
+/// gateways learn of the engine at the same moment. Played over notices that
+/// come each 100 ms; what counts is how many of the answered are in time.
+TEST_F(UpstreamChoiceTest, AnEngineThatComesBackAloneIsNotFlooded)
+{
+    constexpr std::uint32_t gateways = 8;
+    std::vector<UpstreamChoice> all;
+    for (std::uint32_t i = 0; i < gateways; ++i) {
+        all.emplace_back(ChoiceOptions{ .zone = "a" }, i + 1);
+        all.back().onRecord(this->record(1), kStart);
+        all.back().setGateways(gateways);
+    }
+    // Each gateway gets two requests in each 100 ms; the engine ends one in that time.
+    std::uint32_t atEngine = 0;
+    std::uint32_t most = 0;
+    for (int tick = 0; tick < 30; ++tick) {
+        const TimePoint now = kStart + tick * 100ms;
+        const std::uint32_t active = std::min(atEngine, 16U);
+        for (UpstreamChoice &choice : all) {
+            choice.onNotice({ .endpoint = endpointOf(1),
+                              .isUsable = true,
+                              .model = "m",
+                              .version = 1,
+                              .queued = atEngine - active,
+                              .active = active,
+                              .pace = 1 },
+                            now);
+            for (int i = 0; i < 2; ++i) {
+                const Choice chosen = choice.choose(this->query(), now + 50ms);
+                if (chosen.upstream.empty())
+                    continue;
+                choice.onSent(chosen.upstream, 979, now + 50ms);
+                ++atEngine;
+            }
+        }
+        most = std::max(most, atEngine);
+        atEngine -= std::min(atEngine, 1U);
+    }
+    // Places and a queue that is through within the objective.
+    EXPECT_LE(most, 16U + 8U);
+    EXPECT_GE(most, 16U);
+}
