Let a head that looks stalled keep its duty; say which pieces don't come

Found with the new line 'pieces don't come'. Change: the first by weight alone keeps fetching; any stager asks after 4 s. Test: Swarm.AHeadThatLooksStalledStillFetchesWhatItIsFirstFor, fails without it.

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -50,6 +50,15 @@
 constexpr double kUploadShare = 0.75;
 /// The same while the engine answers nobody.
 constexpr double kIdleUploadShare = 0.95;
+/// A starved stager asks peers anew at this pace: what they told while it stood
+/// still or a link was down is lost, and a whole region may wait for it.
+constexpr Milliseconds kLongestAsk = 500ms;
+constexpr std::size_t kAsksAtOnce = 5;
+/// Seconds without a piece after which any stager asks the origin: a version's
+/// bound is a few seconds long.
+constexpr std::uint8_t kSourceWidening = 4;
+/// No piece for so long is worth a warning, this often.
+constexpr Milliseconds kStallPeriod = 2s;
 /// Requests of peers that waited longer have been given up by them.
 constexpr Milliseconds kUploadLimit = 2500ms;
 
@@ -328,6 +337,7 @@
             return this->checkHeld();
         case StagingTask::collect:
             this->runSwarm(now);
+            this->noteStall(now);
             if (this->swarm->done()) {
                 logInfo("weights are staged", { { "version", this->staging.target() },
                                                 { "originBytes", this->originBytes },
@@ -342,6 +352,27 @@
         }
     }
 
+    /// Says what is waited for when no piece has come for long.
+    void noteStall(TimePoint now)
+    {
+        if (this->swarm->done() || now < this->stallToldAt + kStallPeriod)
+            return;
+        const SwarmStall stall = this->swarm->stall(now);
+        if (stall.sinceGain < kStallPeriod)
+            return;
+        this->stallToldAt = now;
+        logWarn("pieces don't come", { { "version", this->staging.target() },
+                                       { "missing", stall.missing },
+                                       { "piece", stall.firstMissing },
+                                       { "holders", stall.holders },
+                                       { "reach", stall.reach },
+                                       { "transfers", stall.transfers },
+                                       { "fromOrigin", stall.sourceTransfers },
+                                       { "designated", stall.designated },
+                                       { "widening", stall.widening },
+                                       { "sinceMs", stall.sinceGain.count() } });
+    }
+
     void fetchManifest()
     {
         const std::uint64_t version = this->staging.target();
@@ -406,8 +437,11 @@
                                           .settleLimit = 2s,
                                           .idleLimit = kUploadLimit,
                                           .sourceLimit = kOriginTimeout,
+                                          .longestAsk = kLongestAsk,
+                                          .asksAtOnce = kAsksAtOnce,
                                           .stallLimit = 1500ms,
-                                          .patience = 1s });
+                                          .patience = 1s,
+                                          .sourceWidening = kSourceWidening });
         this->swarm->setPeers(this->peers(), now);
         this->swarm->start(this->digests.size(), held, 1, now);
         this->staging.onHeldChecked(true, now);
@@ -857,6 +891,7 @@
     std::optional<EngineSpec> spec;
     std::optional<OriginSpec> origin;
     std::optional<EngineReport> report;
+    TimePoint stallToldAt;
     bool isReading{ false };
     bool isOrdering{ false };
     LoadNotice lastNotice;
--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -17,14 +17,12 @@
 constexpr Milliseconds kNewsPeriod = 50ms;
 constexpr Milliseconds kProgressPeriod = 2s;
 constexpr Milliseconds kFirstAsk = 500ms;
-constexpr Milliseconds kLongestAsk = 4s;
 constexpr Milliseconds kLeastTransferLimit = 4s;
 constexpr Milliseconds kSlowAvoid = 2s;
 constexpr Milliseconds kFailedAvoid = 500ms;
 constexpr Milliseconds kCorruptAvoid = 60s;
 constexpr int kTransferFactor = 6;
 constexpr std::uint8_t kRemoteWidening = 2;
-constexpr std::uint8_t kSourceWidening = 12;
 
 std::uint64_t mix(std::uint64_t value)
 {
@@ -167,7 +165,7 @@
     }
     // What was pulled in vain is pulled less often.
     if (list.empty())
-        this->askPeriod = std::min<Duration>(2 * this->askPeriod, kLongestAsk);
+        this->askPeriod = std::min<Duration>(2 * this->askPeriod, this->options.longestAsk);
     this->onHave(peer, list, now);
 }
 
@@ -260,6 +258,24 @@
     return actions;
 }
 
+SwarmStall Swarm::stall(TimePoint now) const
+{
+    static constexpr const char *reaches[] = { "zone", "region", "remote", "source" };
+    SwarmStall stall{ .missing = this->held.size() - this->heldCount,
+                      .transfers = this->transfers.size(),
+                      .sourceTransfers = this->sourceTransfers,
+                      .designated = this->designated.size(),
+                      .widening = this->widening,
+                      .sinceGain = std::chrono::floor<Milliseconds>(now - this->gainedAt) };
+    while (stall.firstMissing < this->held.size() && this->held.has(stall.firstMissing))
+        ++stall.firstMissing;
+    if (stall.firstMissing < this->held.size()) {
+        stall.holders = this->holders[stall.firstMissing];
+        stall.reach = reaches[static_cast<std::size_t>(this->reachOf(stall.firstMissing))];
+    }
+    return stall;
+}
+
 bool Swarm::isRemote(const std::string &peer) const
 {
     const auto found = this->members.find(peer);
@@ -342,17 +358,22 @@
         }
     };
     First overall;
+    First natural; ///< by weight alone
     std::map<std::string, First> regions;
     std::map<std::string, First> zones;
     for (Member *head : this->heads) {
         const std::uint64_t weight = rendezvousWeight(head->record.endpoint, slot);
         overall.take(head, weight);
+        if (natural.member == nullptr || weight > natural.weight)
+            natural = { .member = head, .weight = weight };
         regions[head->record.region].take(head, weight);
         if (head->record.region == this->options.self.region)
             zones[head->record.zone].take(head, weight);
     }
     Slot &filled = this->slots[slot];
-    if (overall.member == &this->own)
+    // One that others take for stalled keeps its duty: views of who is differ,
+    // and each could wait for another.
+    if (overall.member == &this->own || natural.member == &this->own)
         filled.reach = Reach::source;
     else if (regions[this->options.self.region].member == &this->own)
         filled.reach = Reach::remote;
@@ -391,7 +412,7 @@
 Swarm::Reach Swarm::reachOf(std::size_t chunk) const
 {
     const Reach reach = this->slotOf(chunk).reach;
-    if (reach == Reach::source || this->widening >= kSourceWidening)
+    if (reach == Reach::source || this->widening >= this->options.sourceWidening)
         return Reach::source;
     const auto widened = static_cast<std::uint8_t>(reach)
                          + std::min<std::uint8_t>(this->widening, kRemoteWidening);
@@ -596,7 +617,8 @@
     constexpr std::uint64_t hundred = 100;
     const std::uint64_t share = hashOf(this->options.self.endpoint) % hundred;
     const Duration patience = this->options.patience + this->options.patience * share / hundred;
-    const auto steps = std::min<std::int64_t>((now - this->gainedAt) / patience, kSourceWidening);
+    const auto steps =
+            std::min<std::int64_t>((now - this->gainedAt) / patience, this->options.sourceWidening);
     if (steps <= this->widening)
         return;
     this->widening = static_cast<std::uint8_t>(steps);
@@ -649,7 +671,9 @@
     if (candidates.empty())
         return;
     // The first round asks all, so that nothing is drawn that is already there.
-    const std::size_t count = this->askTurn == 0 ? candidates.size() : 1;
+    const std::size_t count = this->askTurn == 0
+                                      ? candidates.size()
+                                      : std::min(this->options.asksAtOnce, candidates.size());
     for (std::size_t i = 0; i < count; ++i)
         actions.push_back(
                 { .kind = SwarmAction::Kind::askHoldings,
@@ -709,7 +733,7 @@
 bool Swarm::maySource(TimePoint now) const
 {
     const std::size_t limit =
-            this->widening >= kSourceWidening ? 1 : this->options.maxSourceTransfers;
+            this->widening >= this->options.sourceWidening ? 1 : this->options.maxSourceTransfers;
     if (this->sourceTransfers >= limit)
         return false;
     if (this->options.policy == WeightsPolicy::origin
--- a/src/swarm.h
+++ b/src/swarm.h
@@ -35,6 +35,20 @@
 /// How the transfer of a chunk ended.
 enum class FetchOutcome { kept, failed, corrupt };
 
+/// Why chunks don't come, for a log line.
+struct SwarmStall
+{
+    std::size_t missing{ 0 };
+    std::size_t firstMissing{ 0 };    ///< number of a missing chunk
+    std::size_t holders{ 0 };         ///< usable holders of that chunk
+    std::string reach;                ///< from how far this agent may fetch that chunk
+    std::size_t transfers{ 0 };       ///< under way
+    std::size_t sourceTransfers{ 0 }; ///< of these from sources
+    std::size_t designated{ 0 };      ///< chunks that this agent is to fetch from sources
+    std::uint8_t widening{ 0 };       ///< steps by which the reach is widened
+    Milliseconds sinceGain{ 0 };      ///< time since a chunk was kept
+};
+
 /// Most heads over all zones.
 inline constexpr std::size_t kSwarmHeads = 64;
 
@@ -51,11 +65,14 @@
     Milliseconds answerTime{
         200ms
     }; ///< time for peers to say what they hold, before a source is asked
-    Milliseconds settleLimit{ 3s };  ///< and this is the longest wait for it
-    Milliseconds idleLimit{ 5s };    ///< time without a block after which a transfer is given up
-    Milliseconds sourceLimit{ 30s }; ///< time after which a source's answer is given up
-    Milliseconds stallLimit{ 6s };   ///< time without progress after which a head is passed over
-    Milliseconds patience{ 5s };     ///< starved time after which the rules on whom to ask widen
+    Milliseconds settleLimit{ 3s };    ///< and this is the longest wait for it
+    Milliseconds idleLimit{ 5s };      ///< time without a block after which a transfer is given up
+    Milliseconds sourceLimit{ 30s };   ///< time after which a source's answer is given up
+    Milliseconds longestAsk{ 4s };     ///< longest time between two questions while starved
+    std::size_t asksAtOnce{ 1 };       ///< peers that are asked each time after the first
+    Milliseconds stallLimit{ 6s };     ///< time without progress after which a head is passed over
+    Milliseconds patience{ 5s };       ///< starved time after which the rules on whom to ask widen
+    std::uint8_t sourceWidening{ 12 }; ///< steps of that after which any agent asks a source
 };
 
 /// The peers that an agent must know: all of its zone, and of every other zone
@@ -97,6 +114,9 @@
     /// Decides what to do now; call every few tens of milliseconds.
     std::vector<SwarmAction> tick(TimePoint now);
 
+    /// What this agent waits for. Precondition: not done.
+    SwarmStall stall(TimePoint now) const;
+
     bool done() const { return this->held.size() > 0 && this->heldCount == this->held.size(); }
     const PeerRecord &self() const { return this->options.self; }
     const ChunkSet &holdings() const { return this->held; }
--- a/tests/swarm_test.cpp
+++ b/tests/swarm_test.cpp
@@ -356,3 +356,30 @@
     });
     EXPECT_TRUE(held);
 }
+
+TEST(Swarm, AHeadThatLooksStalledStillFetchesWhatItIsFirstFor)
+{
+    // The origin gives nothing to this agent while the others get on: by the
+    // common rule it is stalled, but the others may not see it so and wait.
+    const PeerRecord self{ .endpoint = "node-0", .zone = "z", .region = "r" };
+    Swarm swarm({ .self = self, .settleTime = 0ms, .answerTime = 0ms, .stallLimit = 1s });
+    std::vector<PeerRecord> peers = { self };
+    for (int i = 1; i < 6; ++i)
+        peers.push_back({ .endpoint = "node-" + std::to_string(i), .zone = "z", .region = "r" });
+    TimePoint now{ 1s };
+    swarm.setPeers(peers, now);
+    swarm.start(kChunks, ChunkSet(kChunks), 1, now);
+    std::size_t lateFetches = 0;
+    for (int step = 0; step < 400; ++step) {
+        now += kTick;
+        for (std::size_t i = 1; i < peers.size() && step % 10 == 0; ++i)
+            swarm.onProgress(peers[i].endpoint, 1 + static_cast<std::size_t>(step) / 20, now);
+        for (const SwarmAction &action : swarm.tick(now)) {
+            if (action.kind != SwarmAction::Kind::fetchFromSource)
+                continue;
+            lateFetches += step > 250 ? 1 : 0;
+            swarm.onFetched(action.chunk, FetchOutcome::failed, 0ms, now);
+        }
+    }
+    EXPECT_GT(lateFetches, 0U);
+}
