--- a/scripts/experiments/calm_day.py
+++ b/scripts/experiments/calm_day.py
@@ -108,7 +108,7 @@
         row = day.play()
         if row is None:
             say("the stand-in deployment gave no result")
-            return [], False
+            return {}, False
         spent = sum(processor_seconds(gateway) for gateway in gateways)
         row["processor_us_per_request"] = round(spent * 1e6 / max(1, row["asked"]))
         row["memory_mb_entry"] = round(max(peak_megabytes(gateway) for gateway in gateways), 1)
@@ -117,4 +117,4 @@
     held = (row["served_share"] >= 0.95 and row["rollout_s"] >= 0
             and not any(row[name] for name in ("twice", "mixed", "false_refusals",
                                                "damaged_loads")))
-    return [row], held
+    return row, held
