--- a/src/delivery.cpp
+++ b/src/delivery.cpp
@@ -17,6 +17,7 @@
     this->triedUpstreams.insert(upstream);
     ++this->sends;
     this->inFlight = true;
+    this->begun = false;
 }
 
 Verdict Delivery::onNoUpstream(const std::string &reason)
--- a/src/delivery.h
+++ b/src/delivery.h
@@ -64,7 +64,7 @@
     Verdict onFailureStatus(int status, TimePoint now);
 
     /// A part of the answer has been passed on.
-    void onPassed() { this->passedOn = true; }
+    void onPassed() { this->passedOn = this->begun = true; }
 
     /// The attempt broke off: it may have run.
     Verdict onBroken(const std::string &reason, TimePoint now);
@@ -81,6 +81,10 @@
     TimePoint deadline() const { return this->facts.deadline; }
     std::uint32_t attempts() const { return this->sends; }
     bool hasPassedOn() const { return this->passedOn; }
+
+    /// Whether a part of the answer has come from the attempt under way: one that
+    /// resumes a stream may still wait at its upstream.
+    bool hasBegun() const { return this->begun; }
     bool mayHaveRun() const { return this->ranMaybe || this->inFlight; }
     bool isOver() const { return this->over; }
 
@@ -99,6 +103,7 @@
     bool inFlight{ false };   ///< an attempt is under way
     bool ranMaybe{ false };   ///< an ended attempt may have run
     bool passedOn{ false };
+    bool begun{ false }; ///< the attempt under way has given a part of the answer
     bool over{ false };
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "registry_node.h"
 #include "retry_budget.h"
 #include "upstream_choice.h"
+#include "version_duty.h"
 #include "view_reader.h"
 
 #include <asio/post.hpp>
@@ -47,11 +48,6 @@
 constexpr double kSlackShare = 0.8;
 /// Share of the shared retry ratio, as above.
 constexpr double kRatioShare = 0.75;
-/// Requests stop going to older weights this long before their bound ends: they
-/// may still wait at the engine before they begin.
-constexpr Milliseconds kVersionMargin = 1000ms;
-/// One that still waits there this long before the bound ends is taken back.
-constexpr Milliseconds kVersionRecall = 250ms;
 /// A client that has waited past its objective already gets what is left over:
 /// this share of the objective for its first event.
 constexpr double kLateShare = 0.6;
@@ -322,21 +318,17 @@
                                           { "index", this->reader.view().state().index } });
     }
 
-    /// Notes a version and when it is due. One named at a time that nobody knows
-    /// any more is preferred instead.
     void takeVersion(const NumberedText &text)
     {
-        WeightsTargets &model =
-                this->targets[text.name.substr(std::string_view(kWeightsTextPrefix).size())];
+        const std::string model = text.name.substr(std::string_view(kWeightsTextPrefix).size());
         const auto namedAt = this->reader.view().namedAt(text.name);
-        if (namedAt) {
-            model.dueAt[text.number] = *namedAt + this->settings.bounds.version - kVersionMargin;
-            model.preferred = 0;
-        } else {
-            model.preferred = text.number;
-        }
-        logInfo("weights version is named",
-                { { "text", text.name }, { "number", text.number }, { "timeKnown", !!namedAt } });
+        VersionDuty &duty =
+                this->duties.try_emplace(model, this->settings.bounds.version).first->second;
+        const bool isNews = duty.onNamed(text.number, namedAt);
+        if (isNews)
+            logInfo("weights version is named", { { "text", text.name },
+                                                  { "number", text.number },
+                                                  { "timeKnown", namedAt.has_value() } });
     }
 
     void onUpstream(const UpstreamRecord &record)
@@ -474,11 +466,9 @@
             query.customerRegions = &exchange.customer->regions;
         if (!exchange.service->engine)
             return query;
-        const auto target = this->targets.find(exchange.service->engine->model);
-        if (target != this->targets.end()) {
-            query.preferredVersion = target->second.preferred;
-            query.leastVersion = target->second.due(now);
-        }
+        const auto duty = this->duties.find(exchange.service->engine->model);
+        if (duty != this->duties.end())
+            query.version = duty->second.need(now);
         if (!isResume)
             query.firstWithin = firstWithin(exchange, now);
         return query;
@@ -509,7 +499,7 @@
                     { { "request", exchange->facts.id },
                       { "reason", noChoiceName(choice.problem) },
                       { "known", this->upstreams.size() },
-                      { "leastVersion", query.leastVersion },
+                      { "leastVersion", query.version.least },
                       { "exactVersion", query.exactVersion },
                       { "firstWithinMs", query.firstWithin.value_or(0ms).count() },
                       { "expectedMs", choice.expectedFirst.count() },
@@ -646,11 +636,12 @@
     /// Passes on the head of a streamed answer, once.
     void beginStream(Exchange &exchange)
     {
-        if (exchange.delivery.hasPassedOn())
+        const bool isResumed = exchange.delivery.hasPassedOn();
+        exchange.delivery.onPassed();
+        if (isResumed)
             return;
         exchange.version = exchange.answer.version;
         exchange.firstAt = bootNow();
-        exchange.delivery.onPassed();
         exchange.reply->start(exchange.head.status, "", passedHeaders(exchange.head));
     }
 
@@ -848,15 +839,15 @@
     /// Takes back requests that have not begun where the weights' time is over.
     void recallOutdated()
     {
-        const TimePoint soon = bootNow() - kVersionMargin + kVersionRecall;
+        const TimePoint now = bootNow();
         std::vector<ExchangePtr> outdated;
         std::ranges::copy_if(
                 this->exchanges, std::back_inserter(outdated), [&](const ExchangePtr &each) {
-                    if (each->call == 0 || each->sentVersion == 0 || each->delivery.hasPassedOn())
+                    if (each->call == 0 || each->sentVersion == 0 || each->delivery.hasBegun())
                         return false;
-                    const auto target = this->targets.find(each->service->engine->model);
-                    return target != this->targets.end()
-                           && each->sentVersion < target->second.due(soon);
+                    const auto duty = this->duties.find(each->service->engine->model);
+                    return duty != this->duties.end()
+                           && each->sentVersion < duty->second.need(now).least;
                 });
         for (const ExchangePtr &exchange : outdated) {
             logInfo("request is taken back", { { "request", exchange->facts.id },
@@ -867,24 +858,6 @@
         }
     }
 
-    /// Versions of a model's weights that must be served from some time on.
-    struct WeightsTargets
-    {
-        std::uint64_t preferred{ 0 };             ///< named at a time that is not known
-        std::map<std::uint64_t, TimePoint> dueAt; ///< older ones get no request from then on
-
-        /// The highest version that is due, 0 for none.
-        std::uint64_t due(TimePoint now) const
-        {
-            std::uint64_t highest = 0;
-            for (const auto &[version, at] : this->dueAt) {
-                if (now >= at)
-                    highest = version;
-            }
-            return highest;
-        }
-    };
-
     const NodeSettings settings;
     const GatewayDialect dialect;
     const std::uint64_t incarnation;
@@ -895,8 +868,8 @@
     HttpPool calls;
     HttpFront front;
     PlanIndexPtr plan;
-    std::map<std::string, WeightsTargets> targets; ///< by model
-    std::map<std::string, RetryBudget> budgets;    ///< by service
+    std::map<std::string, VersionDuty> duties;  ///< by model
+    std::map<std::string, RetryBudget> budgets; ///< by service
     std::uint32_t budgetGateways{ 0 };
     std::set<ExchangePtr> exchanges;
     std::mt19937_64 random{ randomSeed() };
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds kGreetPeriod = 200ms;
 constexpr Milliseconds kGreetingValid = 1s;
 constexpr Milliseconds kMarksPeriod = 1s;
+/// Time between questions of one that has just started, and random time added.
+constexpr Milliseconds kStartPoll = 80ms;
 constexpr std::size_t kSnapshotPartBytes = 256U << 10U;
 constexpr std::uint64_t kFirstTerm = 1;
 constexpr std::uint64_t kFirstIndex = 1;
@@ -23,8 +25,8 @@
 Quorum::Quorum(QuorumOptions options, QuorumMemory memory, bool isFresh, std::uint64_t seed,
                TimePoint now)
     : options(std::move(options)), disk(std::move(memory)), random(seed),
-      commit(this->disk.snapshot.index), heardAt(now), isConfirmed(isFresh), greetAt(now),
-      marksAt(now)
+      commit(this->disk.snapshot.index), heardAt(now), startedAt(now), isConfirmed(isFresh),
+      greetAt(now), marksAt(now)
 {
     this->configurations[this->disk.snapshot.index] = this->disk.snapshot.members;
     for (const QuorumEntry &entry : this->disk.entries) {
@@ -458,11 +460,23 @@
 
 // --- elections ---
 
-void Quorum::campaign(TimePoint now, bool isPreVote)
+/// Whether every voter said that it knew no leader since it started: then none
+/// leads, and no promise to an earlier one binds.
+bool Quorum::isEveryVoterLeaderless() const
+{
+    return !this->knewLeader
+           && std::ranges::all_of(this->members().members, [this](const QuorumMember &each) {
+                  return !each.voter || each.folder == this->disk.folder
+                         || this->leaderless.contains(each.folder);
+              });
+}
+
+void Quorum::campaign(TimePoint now, bool isPreVote, bool nobodyLeads)
 {
     this->role = isPreVote ? Role::preCandidate : Role::candidate;
     this->leader = 0;
     this->votes = { this->disk.folder };
+    this->leaderless.clear();
     this->resetElection(now);
     if (!isPreVote) {
         ++this->disk.term;
@@ -480,6 +494,7 @@
         if (to.voter && to.folder != this->disk.folder)
             this->sendTo(to.folder, VoteRequest{ .header = this->header(to.folder),
                                                  .isPreVote = isPreVote,
+                                                 .nobodyLeads = nobodyLeads,
                                                  .lastTerm = this->lastTerm(),
                                                  .lastIndex = this->lastIndex() });
     }
@@ -490,14 +505,15 @@
     const QuorumHeader &from = request.header;
     if (this->disk.cluster == 0 || from.cluster == 0)
         return;
-    const bool sticksToLeader = this->hearsLeader(now);
+    const bool isLeaderless = !this->knewLeader && this->role != Role::leader;
+    const bool sticksToLeader = this->hearsLeader(now) && !(request.nobodyLeads && isLeaderless);
     // Step 1. A candidate with a newer term is heard only when no leader is.
     if (!request.isPreVote && !sticksToLeader && from.term > this->disk.term)
         this->becomeFollower(now, from.term, 0);
     // Step 2. Would or does it get the vote?
     const std::uint64_t forTerm = request.isPreVote ? from.term + 1 : from.term;
-    const bool isEligible = this->mayVote() && !sticksToLeader
-                            && this->isUpToDate(request.lastTerm, request.lastIndex);
+    const bool wouldVote = this->mayVote() && this->isUpToDate(request.lastTerm, request.lastIndex);
+    const bool isEligible = wouldVote && !sticksToLeader;
     bool granted = false;
     if (request.isPreVote) {
         granted = isEligible && forTerm > this->disk.term;
@@ -508,10 +524,13 @@
         this->actions.emplace_back(AppendRecords{ .records = { this->voteRecord() } });
         this->resetElection(now);
     }
-    this->send(from.endpoint, VoteReply{ .header = this->header(from.folder),
-                                         .isPreVote = request.isPreVote,
-                                         .forTerm = forTerm,
-                                         .granted = granted });
+    this->send(from.endpoint,
+               VoteReply{ .header = this->header(from.folder),
+                          .isPreVote = request.isPreVote,
+                          .forTerm = forTerm,
+                          .granted = granted,
+                          .knowsNoLeader = request.isPreVote && isLeaderless && wouldVote
+                                           && forTerm > this->disk.term });
 }
 
 void Quorum::on(TimePoint now, const VoteReply &reply)
@@ -522,6 +541,11 @@
                                 && reply.forTerm == this->disk.term + 1;
     const bool answersVote =
             !reply.isPreVote && this->role == Role::candidate && reply.forTerm == this->disk.term;
+    if (answersPreVote && reply.knowsNoLeader) {
+        this->leaderless.insert(reply.header.folder);
+        if (this->isEveryVoterLeaderless())
+            return this->campaign(now, false, true);
+    }
     if (!reply.granted || !(answersPreVote || answersVote))
         return;
     this->votes.insert(reply.header.folder);
@@ -535,6 +559,7 @@
 
 void Quorum::becomeLeader(TimePoint now)
 {
+    this->knewLeader = true;
     this->role = Role::leader;
     this->leader = this->disk.folder;
     this->progress.clear();
@@ -576,8 +601,13 @@
 
 void Quorum::resetElection(TimePoint now)
 {
-    const auto spread = static_cast<std::uint64_t>(this->options.electionSpread.count());
-    this->electionAt = now + this->options.electionLeast + Milliseconds(this->random() % spread);
+    // Until a leader could have been heard, it is asked often whether all of the
+    // group have just started; this disturbs nobody.
+    const bool isStart = !this->knewLeader && now < this->startedAt + this->options.electionLeast;
+    const Milliseconds least = isStart ? kStartPoll : this->options.electionLeast;
+    const Milliseconds most = isStart ? kStartPoll : this->options.electionSpread;
+    const auto spread = static_cast<std::uint64_t>(most.count());
+    this->electionAt = now + least + Milliseconds(this->random() % spread);
 }
 
 // --- replication ---
@@ -704,6 +734,7 @@
     // Step 2. Whoever sends in the current term leads it.
     AppendReply reply{ .success = false, .index = 0, .round = request.round };
     if (from.term >= this->disk.term) {
+        this->knewLeader = true;
         this->becomeFollower(now, from.term, from.folder);
         this->heardAt = now;
         this->resetElection(now);
@@ -768,6 +799,7 @@
     const QuorumHeader &from = part.header;
     if (from.cluster != this->disk.cluster || from.cluster == 0 || from.term < this->disk.term)
         return;
+    this->knewLeader = true;
     this->becomeFollower(now, from.term, from.folder);
     this->heardAt = now;
     this->resetElection(now);
@@ -843,6 +875,8 @@
     if (index <= this->commit || this->termAt(index) != this->disk.term)
         return;
     this->commitTo(index);
+    // Followers are told at once, not with the next heartbeat.
+    this->heartbeatAt = now;
     // A leader that was removed leads until that is committed, and no longer.
     if (this->member(this->disk.folder) == nullptr
         && this->configurations.rbegin()->first <= this->commit)
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -212,7 +212,8 @@
     void noteTerm(std::uint64_t folder, std::uint64_t term);
 
     // Elections.
-    void campaign(TimePoint now, bool isPreVote);
+    void campaign(TimePoint now, bool isPreVote, bool nobodyLeads = false);
+    bool isEveryVoterLeaderless() const;
     void becomeLeader(TimePoint now);
     void becomeFollower(TimePoint now, std::uint64_t term, std::uint64_t newLeader);
     bool hearsLeader(TimePoint now) const;
@@ -254,6 +255,9 @@
     TimePoint heardAt;
     TimePoint electionAt;
     std::set<std::uint64_t> votes;
+    TimePoint startedAt;
+    bool knewLeader{ false };           ///< since it started
+    std::set<std::uint64_t> leaderless; ///< voters that said so in the present pre-vote
 
     std::map<std::uint64_t, Progress> progress;
     std::uint64_t round{ 0 };
--- a/src/source_pool.cpp
+++ b/src/source_pool.cpp
@@ -11,7 +11,7 @@
 constexpr Milliseconds kCorruptBackoff = 60s;
 /// Of the only source, after damaged bytes and at most after failures.
 constexpr Milliseconds kOnlyBackoff = 100ms;
-constexpr Milliseconds kOnlyLongestBackoff = 250ms;
+constexpr Milliseconds kOnlyLongestBackoff = 100ms;
 constexpr std::uint32_t kMostDoublings = 5;
 
 } // namespace
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -31,36 +31,20 @@
 constexpr Milliseconds kStagingTick = 20ms;
 constexpr Milliseconds kPeersPeriod = 200ms;
 constexpr Milliseconds kLocalTimeout = 1s;
-constexpr Milliseconds kOriginTimeout = 3s;
 /// An origin that is back is noticed within this time; it may be gone for seconds.
-constexpr Milliseconds kOriginConnect = 400ms;
+constexpr Milliseconds kOriginConnect = 250ms;
 constexpr Milliseconds kCallSweep = 50ms;
 /// Pieces read back from the engine at once.
 constexpr std::size_t kReadsAtOnce = 4;
-/// The origin's link is as thin as a stager's: one piece on the way and one waiting.
-constexpr std::size_t kOriginPieces = 2;
 constexpr std::uint64_t kFirstVersion = 1;
-/// Peers say what they hold before the origin is asked: for a version named just
-/// now there is nothing to hear.
-constexpr Milliseconds kAnswerTimeNew = 20ms;
-constexpr Milliseconds kAnswerTimeOld = 300ms;
 constexpr std::uint32_t kConnectionsToEngine = 8;
 /// Share of the machine's link that pieces for peers may take: answers of the
 /// engine go over the same link and must not wait for more than one piece.
 constexpr double kUploadShare = 0.75;
 /// The same while the engine answers nobody.
 constexpr double kIdleUploadShare = 0.95;
-/// A starved stager asks peers anew at this pace: what they told while it stood
-/// still or a link was down is lost, and a whole region may wait for it.
-constexpr Milliseconds kLongestAsk = 500ms;
-constexpr std::size_t kAsksAtOnce = 5;
-/// Seconds without a piece after which any stager asks the origin: a version's
-/// bound is a few seconds long.
-constexpr std::uint8_t kSourceWidening = 4;
 /// No piece for so long is worth a warning, this often.
 constexpr Milliseconds kStallPeriod = 2s;
-/// Requests of peers that waited longer have been given up by them.
-constexpr Milliseconds kUploadLimit = 2500ms;
 
 /// The piece of one call.
 struct LocalCall
@@ -283,8 +267,8 @@
         if (this->report->version != before)
             logInfo("engine's weights changed",
                     { { "from", before }, { "to", this->report->version } });
-        this->staging.onEngine(
-                { .version = this->report->version, .isBusy = this->report->isBusy });
+        this->staging.onEngine({ .version = this->report->version, .isBusy = this->report->isBusy },
+                               bootNow());
         this->tellGateways();
     }
 
@@ -428,20 +412,7 @@
         const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
                                .zone = this->settings.zone,
                                .region = this->settings.region };
-        this->swarm.emplace(SwarmOptions{ .self = self,
-                                          .maxTransfers = 6,
-                                          .maxPeerTransfers = 1,
-                                          .maxSourceTransfers = kOriginPieces,
-                                          .settleTime = 0ms,
-                                          .answerTime = isNew ? kAnswerTimeNew : kAnswerTimeOld,
-                                          .settleLimit = 2s,
-                                          .idleLimit = kUploadLimit,
-                                          .sourceLimit = kOriginTimeout,
-                                          .longestAsk = kLongestAsk,
-                                          .asksAtOnce = kAsksAtOnce,
-                                          .stallLimit = 1500ms,
-                                          .patience = 1s,
-                                          .sourceWidening = kSourceWidening });
+        this->swarm.emplace(stagingSwarm(self, isNew));
         this->swarm->setPeers(this->peers(), now);
         this->swarm->start(this->digests.size(), held, 1, now);
         this->staging.onHeldChecked(true, now);
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -4,6 +4,41 @@
 
 namespace egret {
 
+namespace {
+
+/// Peers say what they hold before the origin is asked: for a version named just
+/// now there is nothing to hear.
+constexpr Milliseconds kAnswerTimeNew = 20ms;
+constexpr Milliseconds kAnswerTimeOld = 300ms;
+/// A starved stager asks peers anew at this pace: what they told while it stood
+/// still or a link was down is lost, and a whole region may wait for it.
+constexpr Milliseconds kLongestAsk = 500ms;
+constexpr std::size_t kAsksAtOnce = 5;
+/// Seconds without a piece after which any stager asks the origin.
+constexpr std::uint8_t kSourceWidening = 4;
+
+} // namespace
+
+SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew)
+{
+    return { .self = self,
+             .maxTransfers = 6,
+             .maxPeerTransfers = 1,
+             .maxSourceTransfers = kOriginPieces,
+             .settleTime = 0ms,
+             .answerTime = isNew ? kAnswerTimeNew : kAnswerTimeOld,
+             .settleLimit = 2s,
+             .idleLimit = kUploadLimit,
+             .sourceLimit = kOriginTimeout,
+             .longestAsk = kLongestAsk,
+             .asksAtOnce = kAsksAtOnce,
+             .stallLimit = 1500ms,
+             .judgePeriod = 500ms,
+
+             .patience = 1s,
+             .sourceWidening = kSourceWidening };
+}
+
 void Staging::setTarget(std::uint64_t target, bool isNewlyNamed, TimePoint now)
 {
     if (target <= this->version)
@@ -17,8 +52,11 @@
     this->verifiedAt.reset();
 }
 
-void Staging::onEngine(const EngineStanding &standing)
+void Staging::onEngine(const EngineStanding &standing, TimePoint now)
 {
+    // What failed for want of the engine needs no more patience.
+    if (!this->engine)
+        this->notBefore = std::min(this->notBefore, now);
     this->engine = standing;
 }
 
--- a/src/staging.h
+++ b/src/staging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "swarm.h"
 #include "types.h"
 
 #include <cstdint>
@@ -7,6 +8,17 @@
 
 namespace egret {
 
+/// Time for an answer of the origin.
+inline constexpr Milliseconds kOriginTimeout = 3s;
+/// The origin's link is as thin as a stager's: one piece on the way and one waiting.
+inline constexpr std::size_t kOriginPieces = 2;
+/// Requests of peers that waited longer have been given up by them.
+inline constexpr Milliseconds kUploadLimit = 2500ms;
+
+/// How stagers bring in the pieces of a version whose bound is a few seconds
+/// long. `isNew`: nothing of it can be anywhere yet.
+SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew);
+
 struct StagingOptions
 {
     Milliseconds bound{ 8s };          ///< time in which a named version is to be served
@@ -53,7 +65,7 @@
     /// The engine's place among those that load: 0 for the first, 1 for the last.
     void setTurn(double place) { this->turn = place; }
 
-    void onEngine(const EngineStanding &standing);
+    void onEngine(const EngineStanding &standing, TimePoint now);
 
     /// The engine did not answer; nothing is ordered meanwhile.
     void onEngineLost() { this->engine.reset(); }
--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -8,14 +8,13 @@
 namespace {
 
 constexpr std::size_t kSlots = 256;
-constexpr std::size_t kSmallZone = 12; ///< in a zone no larger, all are neighbours
-constexpr std::size_t kMaxScan = 64;   ///< ready chunks looked at in one tick
-constexpr std::size_t kSlowFactor = 8; ///< a head this many times below the median is slow
-constexpr std::size_t kStallFactor = 3;
+constexpr std::size_t kSmallZone = 12;  ///< in a zone no larger, all are neighbours
+constexpr std::size_t kMaxScan = 64;    ///< ready chunks looked at in one tick
+constexpr std::size_t kSlowFactor = 8;  ///< a head this many times below the median is slow
 constexpr std::size_t kLeastMedian = 8; ///< chunks in a window below which rates tell nothing
-constexpr Milliseconds kWindow = 4s;
 constexpr Milliseconds kNewsPeriod = 50ms;
-constexpr Milliseconds kProgressPeriod = 2s;
+/// Heads are heard this many times within the limit of silence.
+constexpr int kToldPerStall = 3;
 constexpr Milliseconds kFirstAsk = 500ms;
 constexpr Milliseconds kLeastTransferLimit = 4s;
 constexpr Milliseconds kSlowAvoid = 2s;
@@ -91,11 +90,11 @@
         this->held = ChunkSet(chunkCount);
     this->heldCount = this->held.count();
     this->sources.reset(sourceCount);
-    this->startedAt = this->gainedAt = this->windowAt = now;
+    this->startedAt = this->gainedAt = this->windowAt = this->tickedAt = now;
     this->progressToldAt = this->askAt = this->newsAt = now;
     this->askPeriod = kFirstAsk;
     this->askTurn = 0;
-    this->progressTold = 0;
+    this->wholeTold = false;
     this->widening = 0;
     this->transfers.clear();
     this->sourceTransfers = this->remoteTransfers = 0;
@@ -104,10 +103,13 @@
     this->own = { .record = this->options.self,
                   .progress = this->heldCount,
                   .progressAt = now,
+                  .heardAt = now,
                   .windowStart = this->heldCount };
     for (auto &[endpoint, member] : this->members) {
         const PeerRecord record = member.record;
-        member = { .record = record, .held = ChunkSet(chunkCount), .progressAt = now };
+        member = {
+            .record = record, .held = ChunkSet(chunkCount), .progressAt = now, .heardAt = now
+        };
     }
     this->rebuild();
 }
@@ -125,7 +127,8 @@
         if (!known)
             next[peer.endpoint] = { .record = peer,
                                     .held = ChunkSet(this->held.size()),
-                                    .progressAt = now };
+                                    .progressAt = now,
+                                    .heardAt = now };
     }
     const auto isListed = [&](const std::string &endpoint) {
         return std::ranges::any_of(
@@ -175,6 +178,7 @@
     if (found == this->members.end())
         return;
     Member &member = found->second;
+    member.heardAt = now;
     std::size_t gained = 0;
     for (const std::uint32_t chunk : chunks) {
         if (chunk >= member.held.size() || member.held.has(chunk))
@@ -193,7 +197,10 @@
 void Swarm::onProgress(const std::string &peer, std::size_t count, TimePoint now)
 {
     const auto found = this->members.find(peer);
-    if (found == this->members.end() || count <= found->second.progress)
+    if (found == this->members.end())
+        return;
+    found->second.heardAt = now;
+    if (count <= found->second.progress)
         return;
     found->second.progress = std::min(count, this->held.size());
     found->second.progressAt = now;
@@ -210,8 +217,10 @@
                       TimePoint now)
 {
     const auto found = this->transfers.find(chunk);
+    Reach from = Reach::zone;
     if (found != this->transfers.end()) {
         const Transfer transfer = found->second;
+        from = this->distanceOf(transfer);
         if (transfer.from != nullptr && outcome == FetchOutcome::kept)
             this->averageTransfer = (3 * this->averageTransfer + (now - transfer.startedAt)) / 4;
         else if (transfer.from != nullptr)
@@ -237,7 +246,7 @@
         this->widening = 0;
         this->countHolders();
     }
-    this->announce(chunk);
+    this->announce(chunk, from);
 }
 
 std::vector<SwarmAction> Swarm::tick(TimePoint now)
@@ -245,6 +254,7 @@
     std::vector<SwarmAction> actions;
     if (this->held.size() == 0)
         return actions;
+    this->noticePause(now);
     if (!this->done()) {
         this->expireTransfers(now, actions);
         this->judgeHeads(now);
@@ -357,35 +367,55 @@
                 *this = { .member = candidate, .weight = weightOf, .standing = stands };
         }
     };
-    First overall;
-    First natural; ///< by weight alone
-    std::map<std::string, First> regions;
-    std::map<std::string, First> zones;
+    // One that others take for stalled keeps its duty: views of who is differ,
+    // and each could wait for another.
+    struct Firsts
+    {
+        First standing;
+        First natural; ///< by weight alone
+
+        void take(Member *candidate, std::uint64_t weight)
+        {
+            this->standing.take(candidate, weight);
+            if (this->natural.member == nullptr || weight > this->natural.weight)
+                this->natural = { .member = candidate, .weight = weight };
+        }
+        bool include(const Member *member) const
+        {
+            return member == this->standing.member || member == this->natural.member;
+        }
+        void addTo(std::vector<Member *> &list) const
+        {
+            list.push_back(this->standing.member);
+            if (this->natural.member != this->standing.member)
+                list.push_back(this->natural.member);
+        }
+    };
+    Firsts overall;
+    std::map<std::string, Firsts> regions;
+    std::map<std::string, Firsts> zones;
     for (Member *head : this->heads) {
         const std::uint64_t weight = rendezvousWeight(head->record.endpoint, slot);
         overall.take(head, weight);
-        if (natural.member == nullptr || weight > natural.weight)
-            natural = { .member = head, .weight = weight };
         regions[head->record.region].take(head, weight);
         if (head->record.region == this->options.self.region)
             zones[head->record.zone].take(head, weight);
     }
     Slot &filled = this->slots[slot];
-    // One that others take for stalled keeps its duty: views of who is differ,
-    // and each could wait for another.
-    if (overall.member == &this->own || natural.member == &this->own)
+    overall.addTo(filled.sourceFirsts);
+    if (overall.include(&this->own))
         filled.reach = Reach::source;
-    else if (regions[this->options.self.region].member == &this->own)
+    else if (regions[this->options.self.region].include(&this->own))
         filled.reach = Reach::remote;
-    else if (zones[this->options.self.zone].member == &this->own)
+    else if (zones[this->options.self.zone].include(&this->own))
         filled.reach = Reach::region;
-    for (const auto &[region, first] : regions) {
+    for (const auto &[region, firsts] : regions) {
         if (region != this->options.self.region)
-            filled.regionFirsts.push_back(first.member);
+            firsts.addTo(filled.regionFirsts);
     }
-    for (const auto &[zone, first] : zones) {
+    for (const auto &[zone, firsts] : zones) {
         if (zone != this->options.self.zone)
-            filled.zoneFirsts.push_back(first.member);
+            firsts.addTo(filled.zoneFirsts);
     }
 }
 
@@ -408,11 +438,20 @@
     return at == 0 ? nullptr : order[(at - 1) / 2];
 }
 
+/// Whether an agent that is to fetch a chunk from a source was heard of late.
+bool Swarm::isFetcherHeard(std::size_t chunk) const
+{
+    return std::ranges::any_of(this->slotOf(chunk).sourceFirsts, [this](const Member *first) {
+        return first != &this->own && this->tickedAt - first->heardAt <= this->options.stallLimit;
+    });
+}
+
 /// How far this agent may go for a chunk.
 Swarm::Reach Swarm::reachOf(std::size_t chunk) const
 {
     const Reach reach = this->slotOf(chunk).reach;
-    if (reach == Reach::source || this->widening >= this->options.sourceWidening)
+    const int patience = this->options.sourceWidening * (this->isFetcherHeard(chunk) ? 2 : 1);
+    if (reach == Reach::source || this->widening >= patience)
         return Reach::source;
     const auto widened = static_cast<std::uint8_t>(reach)
                          + std::min<std::uint8_t>(this->widening, kRemoteWidening);
@@ -525,13 +564,26 @@
     }
 }
 
+/// After time in which this agent itself stood still, nobody else counts as silent.
+void Swarm::noticePause(TimePoint now)
+{
+    if (now - this->tickedAt > this->options.stallLimit / kToldPerStall) {
+        for (auto &[endpoint, member] : this->members)
+            member.heardAt = now;
+        this->windowAt = now;
+    }
+    this->tickedAt = now;
+}
+
 /// Marks heads that are silent or far slower than the median; all heads are
-/// judged by the same rule, this agent among them, so that views agree.
+/// judged by the same rule, this agent among them, so that views agree. While
+/// nobody gains, as when a source is down, nobody is behind.
 void Swarm::judgeHeads(TimePoint now)
 {
-    if (now - this->windowAt < kWindow)
+    if (now - this->windowAt < this->options.judgePeriod)
         return;
     this->windowAt = now;
+    this->own.heardAt = now;
     std::vector<std::size_t> gains;
     TimePoint newest = this->startedAt;
     for (Member *head : this->heads) {
@@ -550,9 +602,8 @@
         }
     }
     for (Member *head : this->heads) {
-        const Duration silence = now - head->progressAt;
+        const bool isSilent = now - head->heardAt > this->options.stallLimit;
         const bool isBehind = newest - head->progressAt > this->options.stallLimit;
-        const bool isSilent = silence > kStallFactor * this->options.stallLimit;
         const bool isSlow = median >= kLeastMedian && head->windowGain * kSlowFactor < median;
         const bool isWhole = head->progress == this->held.size();
         const bool stalled = !isWhole && (isBehind || isSilent || isSlow);
@@ -617,8 +668,8 @@
     constexpr std::uint64_t hundred = 100;
     const std::uint64_t share = hashOf(this->options.self.endpoint) % hundred;
     const Duration patience = this->options.patience + this->options.patience * share / hundred;
-    const auto steps =
-            std::min<std::int64_t>((now - this->gainedAt) / patience, this->options.sourceWidening);
+    const auto steps = std::min<std::int64_t>((now - this->gainedAt) / patience,
+                                              2 * this->options.sourceWidening);
     if (steps <= this->widening)
         return;
     this->widening = static_cast<std::uint8_t>(steps);
@@ -641,16 +692,17 @@
     }
 }
 
-/// Heads tell each other how far they are, until they are whole.
+/// Heads tell each other how far they are, and that they are there, until they
+/// are whole.
 void Swarm::tellProgress(TimePoint now, std::vector<SwarmAction> &actions)
 {
-    if (!this->own.head || this->progressTold == this->heldCount
-        || now - this->progressToldAt < kProgressPeriod)
+    const bool isDue = now - this->progressToldAt >= this->options.stallLimit / kToldPerStall;
+    if (!this->own.head || this->wholeTold || (!isDue && !this->done()))
         return;
     this->progressToldAt = now;
-    this->progressTold = this->heldCount;
+    this->wholeTold = this->done();
     for (const Member *head : this->heads) {
-        if (head != &this->own && !head->neighbour)
+        if (head != &this->own)
             actions.push_back(
                     { .kind = SwarmAction::Kind::sendProgress, .peer = head->record.endpoint });
     }
@@ -689,8 +741,20 @@
     this->rebuild();
 }
 
-/// Notes whom to tell of a chunk that is now held.
-void Swarm::announce(std::size_t chunk)
+/// From how far a transfer brings its chunk.
+Swarm::Reach Swarm::distanceOf(const Transfer &transfer) const
+{
+    if (transfer.from == nullptr)
+        return Reach::source;
+    const PeerRecord &peer = transfer.from->record;
+    if (peer.region != this->options.self.region)
+        return Reach::remote;
+    return peer.zone != this->options.self.zone ? Reach::region : Reach::zone;
+}
+
+/// Notes whom to tell of a chunk that is now held and came from so far: also one
+/// that was fetched without duty is the first in its region, or of all.
+void Swarm::announce(std::size_t chunk, Reach from)
 {
     if (this->options.policy == WeightsPolicy::origin)
         return;
@@ -700,11 +764,12 @@
             member.news.push_back(number);
     }
     const Slot &slot = this->slotOf(chunk);
-    if (slot.reach >= Reach::remote) {
+    const Reach reach = std::max(slot.reach, from);
+    if (reach >= Reach::remote) {
         for (Member *first : slot.zoneFirsts)
             first->news.push_back(number);
     }
-    if (slot.reach == Reach::source) {
+    if (reach == Reach::source) {
         for (Member *first : slot.regionFirsts)
             first->news.push_back(number);
     }
--- a/src/swarm.h
+++ b/src/swarm.h
@@ -65,14 +65,18 @@
     Milliseconds answerTime{
         200ms
     }; ///< time for peers to say what they hold, before a source is asked
-    Milliseconds settleLimit{ 3s };    ///< and this is the longest wait for it
-    Milliseconds idleLimit{ 5s };      ///< time without a block after which a transfer is given up
-    Milliseconds sourceLimit{ 30s };   ///< time after which a source's answer is given up
-    Milliseconds longestAsk{ 4s };     ///< longest time between two questions while starved
-    std::size_t asksAtOnce{ 1 };       ///< peers that are asked each time after the first
-    Milliseconds stallLimit{ 6s };     ///< time without progress after which a head is passed over
-    Milliseconds patience{ 5s };       ///< starved time after which the rules on whom to ask widen
-    std::uint8_t sourceWidening{ 12 }; ///< steps of that after which any agent asks a source
+    Milliseconds settleLimit{ 3s };  ///< and this is the longest wait for it
+    Milliseconds idleLimit{ 5s };    ///< time without a block after which a transfer is given up
+    Milliseconds sourceLimit{ 30s }; ///< time after which a source's answer is given up
+    Milliseconds longestAsk{ 4s };   ///< longest time between two questions while starved
+    std::size_t asksAtOnce{ 1 };     ///< peers that are asked each time after the first
+    Milliseconds stallLimit{ 6s };   ///< time of silence, or without progress while others
+                                     ///< progress, after which a head is passed over
+    Milliseconds judgePeriod{ 4s };  ///< heads are judged this often
+    Milliseconds patience{ 5s };     ///< starved time after which the rules on whom to ask widen
+    /// Steps of that after which any agent asks a source, and twice as many where
+    /// the agent that is to ask it is still heard: then the source gives nobody anything.
+    std::uint8_t sourceWidening{ 12 };
 };
 
 /// The peers that an agent must know: all of its zone, and of every other zone
@@ -84,7 +88,8 @@
 /// chunk by rendezvous hashing: the first of all fetches it from a source, the
 /// first of each region across regions, the first of each zone within its
 /// region; everyone else from neighbours in the zone, rarest first. A head
-/// that is slow or silent is passed over. Deterministic; not thread safe.
+/// that is slow or silent is passed over; since views of that differ, the one
+/// that comes first by hash keeps its duty besides. Deterministic; not thread safe.
 class Swarm
 {
 public:
@@ -143,6 +148,7 @@
         TimePoint trustedAt;
         std::size_t progress{ 0 };
         TimePoint progressAt;
+        TimePoint heardAt;
         std::size_t windowStart{ 0 }; ///< progress at the start of the window
         std::size_t windowGain{ 0 };  ///< chunks gained in the last whole window
         std::size_t transfers{ 0 };   ///< running from this member
@@ -162,8 +168,9 @@
     struct Slot
     {
         Reach reach{ Reach::zone };
-        std::vector<Member *> regionFirsts; ///< of the other regions
-        std::vector<Member *> zoneFirsts;   ///< of the other zones of the region
+        std::vector<Member *> sourceFirsts; ///< up to two
+        std::vector<Member *> regionFirsts; ///< of the other regions, up to two of each
+        std::vector<Member *> zoneFirsts;   ///< of the other zones of the region, up to two of each
     };
 
     using ReadyKey = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>;
@@ -174,6 +181,7 @@
     void chooseNeighbours();
     void fillSlot(std::size_t slot);
     const Slot &slotOf(std::size_t chunk) const;
+    bool isFetcherHeard(std::size_t chunk) const;
     Member *parentInTree();
 
     // Which chunks can be fetched.
@@ -195,7 +203,9 @@
     void askHoldings(TimePoint now, std::vector<SwarmAction> &actions);
 
     void distrust(Member &member, TimePoint now);
-    void announce(std::size_t chunk);
+    void announce(std::size_t chunk, Reach from);
+    Reach distanceOf(const Transfer &transfer) const;
+    void noticePause(TimePoint now);
     void endTransfer(std::size_t chunk);
     bool maySource(TimePoint now) const;
     Duration transferLimit() const;
@@ -222,10 +232,11 @@
     std::set<std::string> corrupt;
     std::uint8_t widening{ 0 }; ///< steps by which the reach is widened
     TimePoint gainedAt;         ///< last chunk kept
+    TimePoint tickedAt;
     TimePoint windowAt;
     TimePoint newsAt;
     TimePoint progressToldAt;
-    std::size_t progressTold{ 0 };
+    bool wholeTold{ false }; ///< the heads were told that nothing is missing
     TimePoint askAt;
     Duration askPeriod{ 0 };
     std::size_t askTurn{ 0 };
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -15,6 +15,9 @@
 /// Share of the gateways that are taken to send as this one does.
 constexpr double kAlikeShare = 0.75;
 constexpr Milliseconds kSentKept = 1s;
+/// By which a prediction of the first token may be short where weights are used
+/// until their last moment.
+constexpr Milliseconds kBeginMargin = 200ms;
 /// A refusing upstream is left alone for a moment.
 constexpr Milliseconds kRefusedPause = 100ms;
 constexpr Milliseconds kLeastRetry = 100ms;
@@ -122,6 +125,8 @@
         const bool isEngine = query.plan != nullptr && query.plan->engine;
         const Candidate candidate = isEngine ? this->weighEngine(id, upstream, query, now)
                                              : this->weighPlain(id, upstream, query, now);
+        if (isEngine && !this->beginsInTime(candidate, query, now))
+            continue;
         const bool isBad = this->outliers.isEjected(id, now) || now < upstream.refusedUntil
                            || this->isColdFull(upstream, query, now);
         (isBad ? failing : candidates).push_back(candidate);
@@ -158,8 +163,7 @@
     const double share = bound * this->options.connectionShare / this->gateways;
     choice = { .upstream = *best.id,
                .endpoint = upstream.endpoint,
-               .version = this->isNoticed(upstream, now) ? upstream.notice.version
-                                                         : upstream.record.version,
+               .version = this->versionOf(upstream, now),
                .maxConnections = bound > 0 ? std::max(2U, static_cast<std::uint32_t>(share)) : 256,
                .expectedFirst = std::chrono::ceil<Milliseconds>(best.expected),
                .load = best.load,
@@ -184,16 +188,32 @@
     return upstream.noticed && now - upstream.noticedAt < this->options.noticeLimit;
 }
 
+/// Version of the weights that an engine is believed to hold.
+std::uint64_t UpstreamChoice::versionOf(const Upstream &upstream, TimePoint now) const
+{
+    return this->isNoticed(upstream, now) ? upstream.notice.version : upstream.record.version;
+}
+
+/// True unless the request might still wait there when the engine's weights are
+/// no longer to be used.
+bool UpstreamChoice::beginsInTime(const Candidate &candidate, const ChoiceQuery &query,
+                                  TimePoint now) const
+{
+    return query.version.soon == 0
+           || this->versionOf(*candidate.upstream, now) >= query.version.soon
+           || candidate.expected + kBeginMargin <= query.version.soonIn;
+}
+
 /// The version that a request needs: the preferred one where an engine has it.
 std::uint64_t UpstreamChoice::leastVersion(const ChoiceQuery &query, TimePoint now) const
 {
-    if (query.preferredVersion <= query.leastVersion)
-        return query.leastVersion;
+    if (query.version.preferred <= query.version.least)
+        return query.version.least;
     const bool isThere = std::ranges::any_of(this->upstreams, [&](const auto &each) {
         return each.second.record.service == query.service && this->isAllowed(each.second, query)
-               && this->servesVersion(each.second, query, query.preferredVersion, now);
+               && this->servesVersion(each.second, query, query.version.preferred, now);
     });
-    return isThere ? query.preferredVersion : query.leastVersion;
+    return isThere ? query.version.preferred : query.version.least;
 }
 
 /// True where an engine holds the weights that are wanted.
@@ -205,7 +225,7 @@
     const bool isNoticed = this->isNoticed(upstream, now);
     if (isNoticed && !upstream.notice.isUsable)
         return false;
-    const std::uint64_t version = isNoticed ? upstream.notice.version : upstream.record.version;
+    const std::uint64_t version = this->versionOf(upstream, now);
     return version > 0 && version >= leastVersion
            && (query.exactVersion == 0 || version == query.exactVersion);
 }
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -2,6 +2,7 @@
 
 #include "outlier.h"
 #include "serving_plan.h"
+#include "version_duty.h"
 
 #include <deque>
 #include <map>
@@ -34,9 +35,8 @@
     const std::vector<std::string> *routeRegions{ nullptr };    ///< allowed; empty: all
     const std::vector<std::string> *customerRegions{ nullptr }; ///< allowed besides
     std::set<std::string> excluded;          ///< upstreams that have failed the request
-    std::uint64_t leastVersion{ 0 };         ///< of the weights
+    VersionNeed version;                     ///< of the weights
     std::uint64_t exactVersion{ 0 };         ///< of the weights, 0 for any
-    std::uint64_t preferredVersion{ 0 };     ///< of the weights; older only where none has it
     std::optional<Milliseconds> firstWithin; ///< a later first token is of no use
     bool mayRunTwice{ true };
 };
@@ -135,6 +135,8 @@
     };
 
     bool isAllowed(const Upstream &upstream, const ChoiceQuery &query) const;
+    bool beginsInTime(const Candidate &candidate, const ChoiceQuery &query, TimePoint now) const;
+    std::uint64_t versionOf(const Upstream &upstream, TimePoint now) const;
     bool isColdFull(Upstream &upstream, const ChoiceQuery &query, TimePoint now) const;
     std::uint64_t leastVersion(const ChoiceQuery &query, TimePoint now) const;
     bool servesVersion(const Upstream &upstream, const ChoiceQuery &query,
--- a/src/view_reader.cpp
+++ b/src/view_reader.cpp
@@ -39,11 +39,18 @@
 {
     if (this->registries.empty())
         return;
+    const TimePoint now = bootNow();
+    if (!this->state.isConfirmed(now)) {
+        // Nothing can be served until a majority has answered.
+        for (const std::string &registry : this->registries)
+            this->hub.send(registry, Channel::control, this->state.pull(registry, now));
+        return;
+    }
     auto next = this->registries.upper_bound(this->lastAsked);
     if (next == this->registries.end())
         next = this->registries.begin();
     this->lastAsked = *next;
-    this->hub.send(*next, Channel::control, this->state.pull(*next, bootNow()));
+    this->hub.send(*next, Channel::control, this->state.pull(*next, now));
 }
 
 void ViewReader::onView(const LinkPtr &link, const View &view)
--- a/src/view_reader.h
+++ b/src/view_reader.h
@@ -24,7 +24,8 @@
     ViewReader(const NodeSettings &settings, bool isGateway, LinkHub &hub,
                ViewReaderHandlers handlers);
 
-    /// Asks one registry after the other; call every `kViewTick`.
+    /// Asks one registry after the other, all while the operators' state is not
+    /// confirmed; call every `kViewTick`.
     void tick();
 
     /// Takes a view that came on a link to a registry.
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -62,6 +62,20 @@
     EXPECT_EQ(delivery.onBroken("reset", kStart).step, NextStep::cut);
 }
 
+TEST(Delivery, AResumedStreamHasNotBegunUntilItsUpstreamGivesAPart)
+{
+    // One that waits in a queue while its weights run out of time is taken back.
+    Delivery delivery(streamFacts());
+    delivery.onSend("a");
+    EXPECT_FALSE(delivery.hasBegun());
+    delivery.onPassed();
+    EXPECT_TRUE(delivery.hasBegun());
+    EXPECT_EQ(delivery.onBroken("reset", kStart).step, NextStep::resume);
+    delivery.onSend("b");
+    EXPECT_TRUE(delivery.hasPassedOn());
+    EXPECT_FALSE(delivery.hasBegun());
+}
+
 TEST(Delivery, AStreamThatMayNotBeResumedIsCutInTheClientsSight)
 {
     Delivery delivery({ .isStream = true, .maxAttempts = 2, .deadline = kStart + 6s });
--- a/tests/quorum_test.cpp
+++ b/tests/quorum_test.cpp
@@ -504,6 +504,52 @@
     EXPECT_EQ(faultsOf(group), "");
 }
 
+// All instances are killed at once and start again: none can hold a promise to
+// a leader, so the group has one again well before the usual patience is over.
+TEST(Quorum, AGroupThatStartsAgainAsAWholeHasALeaderSoon)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Group group(kMembers, seed);
+        group.run(4s);
+        ASSERT_TRUE(group.leader());
+        ASSERT_TRUE(group.propose(*group.leader(), "a"));
+        group.run(1s);
+        for (std::size_t i = 0; i < kMembers; ++i)
+            group.crash(i);
+        group.run(300ms);
+        for (std::size_t i = 0; i < kMembers; ++i) {
+            group.start(i, false);
+            group.run(20ms);
+        }
+        group.run(400ms);
+        ASSERT_TRUE(group.leader()) << "seed " << seed;
+        EXPECT_TRUE(group.propose(*group.leader(), "b"));
+        group.run(500ms);
+        for (const Member &member : group.members)
+            EXPECT_EQ(member.applied, group.oracle.rbegin()->first);
+        EXPECT_EQ(faultsOf(group), "");
+    }
+}
+
+// One instance was not killed: it may lead, so the others keep their promises.
+TEST(Quorum, AMajorityThatStartsAgainLeavesTheLeaderInPeace)
+{
+    Group group(kMembers);
+    group.run(4s);
+    const std::size_t leads = *group.leader();
+    const auto term = group.members[leads].machine->term();
+    for (std::size_t i = 0; i < kMembers; ++i) {
+        if (i == leads)
+            continue;
+        group.crash(i);
+        group.start(i, false);
+    }
+    group.run(3s);
+    EXPECT_EQ(group.leader(), leads);
+    EXPECT_EQ(group.members[leads].machine->term(), term);
+    EXPECT_EQ(faultsOf(group), "");
+}
+
 TEST(Quorum, AnIsolatedLeaderStopsAcceptingAndDisturbsNobody)
 {
     Group group(kMembers);
--- a/tests/staging_test.cpp
+++ b/tests/staging_test.cpp
@@ -30,14 +30,14 @@
 {
     Staging staging;
     staging.setTarget(2, true, kStart);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::readBack);
     staging.onReadBack(true, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::order);
     staging.onOrdered(OrderOutcome::begun, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::none);
-    staging.onEngine({ .version = 2 });
+    staging.onEngine({ .version = 2 }, kStart);
     EXPECT_EQ(staging.next(kStart + 9s), StagingTask::none);
     EXPECT_TRUE(staging.isLoaded());
 }
@@ -46,7 +46,7 @@
 {
     Staging staging;
     staging.setTarget(2, true, kStart);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
     staging.onReadBack(false, kStart);
@@ -57,13 +57,13 @@
 {
     Staging staging({ .verifiedFor = 700ms });
     staging.setTarget(2, true, kStart);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
     staging.onReadBack(true, kStart);
-    staging.onEngine({ .version = 1, .isBusy = true });
+    staging.onEngine({ .version = 1, .isBusy = true }, kStart);
     EXPECT_EQ(staging.next(kStart + 1s), StagingTask::none);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     EXPECT_EQ(staging.next(kStart + 1s), StagingTask::readBack);
 }
 
@@ -72,13 +72,13 @@
     Staging staging({ .bound = 8s, .lastLead = 1s });
     staging.setTarget(2, true, kStart);
     staging.setTurn(0.5);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart + 3s);
     EXPECT_EQ(staging.next(kStart + 4900ms), StagingTask::none);
-    staging.onEngine({ .version = 0 });
+    staging.onEngine({ .version = 0 }, kStart);
     EXPECT_EQ(staging.next(kStart + 4900ms), StagingTask::readBack);
     staging.onReadBack(true, kStart + 4s);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     EXPECT_EQ(staging.next(kStart + 5s), StagingTask::readBack);
 }
 
@@ -87,7 +87,7 @@
     Staging staging({ .bound = 8s });
     staging.setTarget(2, true, kStart);
     staging.setTurn(1);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart + 9s);
     EXPECT_EQ(staging.next(kStart + 9s), StagingTask::readBack);
 }
@@ -96,15 +96,15 @@
 {
     Staging staging({ .orderPatience = 1s });
     staging.setTarget(2, false, kStart);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
     staging.onReadBack(true, kStart);
     staging.next(kStart);
     staging.onOrdered(OrderOutcome::unknown, kStart);
-    staging.onEngine({ .version = 1, .isBusy = true });
+    staging.onEngine({ .version = 1, .isBusy = true }, kStart);
     EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     EXPECT_EQ(staging.next(kStart + 5s), StagingTask::readBack);
 }
 
@@ -112,7 +112,7 @@
 {
     Staging staging;
     staging.setTarget(2, true, kStart);
-    staging.onEngine({ .version = 1 });
+    staging.onEngine({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
     staging.setTarget(3, true, kStart);
@@ -163,7 +163,7 @@
             if (faults && *rc::gen::inRange(0, 10) == 0)
                 staging.onEngineLost();
             else
-                staging.onEngine({ .version = loaded, .isBusy = busy });
+                staging.onEngine({ .version = loaded, .isBusy = busy }, now);
             busy = false;
             switch (staging.next(now)) {
             case StagingTask::none:
@@ -203,3 +203,17 @@
         RC_ASSERT(loaded == target);
     });
 }
+
+TEST(Staging, WhatFailedForWantOfTheEngineGoesOnOnceItAnswers)
+{
+    Staging staging;
+    staging.setTarget(1, false, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    staging.onManifest(true, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::checkHeld);
+    staging.onEngineLost();
+    staging.onHeldChecked(false, kStart);
+    EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::none);
+    staging.onEngine({ .version = 0 }, kStart + 10ms);
+    EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::checkHeld);
+}
--- a/tests/swarm_test.cpp
+++ b/tests/swarm_test.cpp
@@ -1,3 +1,4 @@
+#include "staging.h"
 #include "swarm.h"
 
 #include <gtest/gtest.h>
@@ -49,11 +50,19 @@
     bool sourceDown{ false };
     std::string cutZone; ///< zone that is cut off from the others
 
-    explicit Fleet(std::size_t count, std::size_t zones = 3)
+    /// Of each node, its own record aside.
+    SwarmOptions options;
+    Duration pieceTime{ 0 }; ///< of one chunk over the source's link, shared by all
+    TimePoint sourceFreeAt;
+    Duration sourceTimeout{ 2 * kTick }; ///< after which one that is down counts as failed
+
+    explicit Fleet(std::size_t count, std::size_t zones = 3, SwarmOptions options = {},
+                   const std::string &name = "node-")
+        : options(std::move(options))
     {
         for (std::size_t i = 0; i < count; ++i) {
             const std::string place = std::to_string(i % zones);
-            this->nodes.push_back({ .record = { .endpoint = "node-" + std::to_string(i),
+            this->nodes.push_back({ .record = { .endpoint = name + std::to_string(i),
                                                 .zone = "zone-" + place,
                                                 .region = "region-" + place } });
             this->restart(i, false);
@@ -65,7 +74,8 @@
         Node &node = this->nodes[i];
         node.alive = true;
         node.stalled = false;
-        node.swarm = std::make_unique<Swarm>(SwarmOptions{ .self = node.record });
+        this->options.self = node.record;
+        node.swarm = std::make_unique<Swarm>(this->options);
         if (!keepsDisk)
             node.stored.assign(kChunks, 0);
         if (node.version != 0)
@@ -144,6 +154,11 @@
         if (action.kind == SwarmAction::Kind::fetchFromSource) {
             ++this->sourceFetches;
             delivery.content = this->sourceDown ? -1 : node.version;
+            this->sourceFreeAt = std::max(this->sourceFreeAt, this->now) + this->pieceTime;
+            if (this->sourceDown)
+                delivery.at = this->now + this->sourceTimeout;
+            else
+                delivery.at = std::max(delivery.at, this->sourceFreeAt);
             this->deliveries.push_back(delivery);
             return;
         }
@@ -181,6 +196,20 @@
         }
     }
 
+    /// The source goes down: what it was asked for doesn't come any more.
+    void loseSource()
+    {
+        this->sourceDown = true;
+        for (Delivery &delivery : this->deliveries) {
+            if (delivery.from.empty())
+                delivery = { .at = this->now + this->sourceTimeout,
+                             .to = delivery.to,
+                             .chunk = delivery.chunk,
+                             .content = -1,
+                             .version = delivery.version };
+        }
+    }
+
     /// What the shell does: bytes of another version or that don't match are dropped.
     void deliver(const Delivery &delivery)
     {
@@ -383,3 +412,44 @@
     }
     EXPECT_GT(lateFetches, 0U);
 }
+
+// A version is named, three agents freeze for four seconds, and the source goes
+// down before its last chunks were fetched. Once it is back, every region has
+// them within a second and what the source's link takes.
+TEST(Swarm, EveryRegionIsWholeSoonAfterALostSourceReturns)
+{
+    constexpr Milliseconds pieceTime = 100ms;
+    for (int names = 0; names < 12; ++names) {
+        Fleet fleet(18, 3, stagingSwarm({}, true), "fleet-" + std::to_string(names) + "-");
+        fleet.pieceTime = pieceTime;
+        fleet.sourceTimeout = 400ms;
+        for (std::size_t i = 0; i < fleet.nodes.size(); ++i)
+            fleet.turnTo(i, 1);
+        const auto runFor = [&fleet](Duration time) {
+            for (const TimePoint end = fleet.now + time; fleet.now < end;)
+                fleet.step();
+        };
+        const auto freeze = [&fleet](bool isFrozen) {
+            for (const std::size_t i : { 0, 4, 8 })
+                fleet.nodes[i].stalled = isFrozen;
+        };
+        runFor(600ms);
+        freeze(true);
+        runFor(1500ms);
+        fleet.loseSource();
+        runFor(2500ms);
+        freeze(false);
+        runFor(3500ms);
+        ASSERT_FALSE(fleet.allWhole());
+        std::size_t mostMissing = 0;
+        std::vector<bool> isAnywhere(kChunks, false);
+        for (const Fleet::Node &node : fleet.nodes) {
+            for (std::size_t chunk = 0; chunk < kChunks; ++chunk)
+                isAnywhere[chunk] = isAnywhere[chunk] || node.swarm->holdings().has(chunk);
+        }
+        mostMissing = static_cast<std::size_t>(std::ranges::count(isAnywhere, false));
+        fleet.sourceDown = false;
+        fleet.sourceFreeAt = fleet.now;
+        EXPECT_TRUE(fleet.runUntilWhole(1s + mostMissing * pieceTime)) << "names " << names;
+    }
+}
--- a/tests/upstream_choice_test.cpp
+++ b/tests/upstream_choice_test.cpp
@@ -164,15 +164,15 @@
     this->notice(1, 0, 0, 1);
     this->notice(2, 15, 0, 2);
     ChoiceQuery query = this->query();
-    query.leastVersion = 2;
+    query.version.least = 2;
     EXPECT_EQ(this->drawn(query).at("e2"), 200);
-    query.leastVersion = 3;
+    query.version.least = 3;
     EXPECT_EQ(this->choice.choose(query, kStart).problem, NoChoice::unknown);
     // A preference alone leaves older ones where nobody has the newest.
-    query.leastVersion = 0;
-    query.preferredVersion = 2;
+    query.version.least = 0;
+    query.version.preferred = 2;
     EXPECT_EQ(this->drawn(query).at("e2"), 200);
-    query.preferredVersion = 3;
+    query.version.preferred = 3;
     EXPECT_NE(this->choice.choose(query, kStart).upstream, "");
 }
 
@@ -297,3 +297,20 @@
     EXPECT_LE(most, 16U + 8U);
     EXPECT_GE(most, 16U);
 }
+
+TEST_F(UpstreamChoiceTest, OldWeightsAreUsedWhileARequestStillBeginsInTime)
+{
+    // All engines hold the old weights; the new ones are due in a moment.
+    this->choice.onRecord(this->record(1), kStart);
+    this->choice.onRecord(this->record(2), kStart);
+    this->notice(1, 4, 0);
+    this->notice(2, 16, 3);
+    ChoiceQuery query = this->query();
+    query.version = { .least = 1, .soon = 2, .soonIn = 600ms };
+    EXPECT_EQ(this->drawn(query).size(), 1U) << "the one with a queue could begin too late";
+    EXPECT_TRUE(this->drawn(query).contains("e1"));
+    query.version.soonIn = 100ms;
+    EXPECT_EQ(this->choice.choose(query, kStart).upstream, "");
+    this->notice(2, 4, 0, 2);
+    EXPECT_EQ(this->choice.choose(query, kStart).upstream, "e2") << "it has the new weights";
+}
