Try links to a machine that is off anew within 300 ms

Cause: after a power loss of everything the last registry was up at 44.49 s, the leader at 45.23 s: the others' first packets to it were swallowed while it was off and sent again by the kernel only after a second, and links gave up on them at 1 to 1.5 s. An attempt now has 300 ms, doubled with each that fails (a full link answers late). Ruled out: the election itself (0.24 s after a kill that leaves machines on), reading the log (6 ms).

--- a/src/link.cpp
+++ b/src/link.cpp
@@ -20,7 +20,11 @@
 
 namespace {
 
-constexpr Milliseconds kConnectTimeout = 1s;
+/// A peer's machine that starts answers a new attempt at once, while a lost first
+/// packet is sent again only after a second. Over a full link that takes longer:
+/// each failure doubles the limit.
+constexpr Milliseconds kFirstConnectLimit = 300ms;
+constexpr Milliseconds kLongestConnectLimit = 1500ms;
 constexpr Milliseconds kHeartbeatPeriod = 500ms;
 constexpr Milliseconds kSilenceLimit = 2s;
 constexpr std::size_t kMaxQueuedBytes = 16U << 20U;
@@ -66,7 +70,27 @@
     LinkHandlers handlers;
     std::mutex mutex;
     std::map<std::string, std::uint64_t> dropped;
-    std::atomic<std::size_t> unproven{ 0 }; ///< accepted peers without a valid frame yet
+    std::map<std::string, Milliseconds> connectLimits; ///< by target that did not answer
+    std::atomic<std::size_t> unproven{ 0 };            ///< accepted peers without a valid frame yet
+
+    /// Time for the next attempt to reach a target.
+    Milliseconds connectLimit(const std::string &target)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->connectLimits.find(target);
+        return found == this->connectLimits.end() ? kFirstConnectLimit : found->second;
+    }
+
+    void noteConnect(const std::string &target, bool isReached)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (isReached) {
+            this->connectLimits.erase(target);
+            return;
+        }
+        const auto known = this->connectLimits.emplace(target, kFirstConnectLimit).first;
+        known->second = std::min(known->second * 2, kLongestConnectLimit);
+    }
 
     void countDropped(const std::string &name)
     {
@@ -208,6 +232,8 @@
         this->outgoing = sealerFor(this->opener ? 'o' : 'a');
         this->incoming = sealerFor(this->opener ? 'a' : 'o');
         this->sessionStarted = true;
+        if (this->opener)
+            this->shared->noteConnect(this->targetName, true);
         this->enqueue(options.self, true);
         for (auto &message : this->waiting)
             this->enqueue(message);
@@ -348,13 +374,18 @@
     /// Sends heartbeats and closes the link when the peer is silent.
     void watch()
     {
-        this->timer.expires_after(kHeartbeatPeriod);
+        const bool isConnecting = this->opener && !this->incoming;
+        this->timer.expires_after(isConnecting ? this->shared->connectLimit(this->targetName)
+                                               : kHeartbeatPeriod);
         this->timer.async_wait(asio::bind_executor(
                 this->strand, [self = this->shared_from_this()](const std::error_code &error) {
                     if (error || self->down)
                         return;
                     const auto silence = std::chrono::steady_clock::now() - self->lastReceived;
-                    if (!self->incoming && silence > kConnectTimeout) {
+                    const bool isLate = self->opener || silence > kLongestConnectLimit;
+                    if (!self->incoming && isLate) {
+                        if (self->opener)
+                            self->shared->noteConnect(self->targetName, false);
                         self->shut("connect timed out");
                         return;
                     }
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -103,6 +103,26 @@
     EXPECT_NE(host.hub.open(to, Channel::control), first);
 }
 
+// A machine that is off swallows the first packet: another attempt finds it as
+// soon as it is up. Over a full link an attempt needs longer, so each gets more.
+TEST(Link, AttemptsThatAreNotAnsweredBeginShortAndGrow)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor silent(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint to{ .address = "127.0.0.1", .port = silent.local_endpoint().port() };
+    Host host(freeLoopback("127.0.0.1"));
+    std::vector<Duration> spent;
+    for (int attempt = 1; attempt <= 3; ++attempt) {
+        const TimePoint begin = std::chrono::steady_clock::now();
+        host.hub.open(to, Channel::control);
+        ASSERT_TRUE(Host::eventually([&] { return host.downs == attempt; }));
+        spent.push_back(std::chrono::steady_clock::now() - begin);
+    }
+    EXPECT_LT(spent[0], 900ms) << "a lost first packet is sent again after a second";
+    EXPECT_GE(spent[1], 2 * 300ms);
+    EXPECT_GE(spent[2], 4 * 300ms);
+}
+
 TEST(Frame, HostileBytesUnderAValidMacAreRefusedWithoutHarm)
 {
     fuzz([] {
