Take only clients that must have asked before for late ones

Cause: a gateway took the time that a client's budget lacks to the route's timeout as time spent on earlier attempts. So more than half of all fresh requests counted as late, got a place only where the first token was predicted within 0.6 of the objective, were refused otherwise, came back and were late for good. Now only one with less than 85 in 100 left counts as having asked before.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -51,6 +51,9 @@
 /// A client that has waited past its objective already gets what is left over:
 /// this share of the objective for its first event.
 constexpr double kLateShare = 0.6;
+/// Clients give each request a time of their own, shorter than its route's by up
+/// to this share: only one with less left has asked before.
+constexpr double kOwnTimeSpread = 0.15;
 /// Bytes that a slow client may leave unread.
 constexpr std::size_t kMaxPending = 1U << 20U;
 constexpr std::size_t kMaxBuffered = 16U << 20U;
@@ -395,7 +398,7 @@
                            .maxAttempts = std::max(1U, route->maxAttempts),
                            .deadline = now + limit }),
                 std::move(facts));
-        exchange->waitedBefore = route->timeout - limit;
+        exchange->waitedBefore = waitedBefore(route->timeout, limit);
         exchange->request = std::move(request);
         exchange->reply = reply;
         exchange->plan = this->plan;
@@ -412,6 +415,15 @@
         this->chooseAndSend(exchange);
     }
 
+    /// Time that a client has probably spent on earlier attempts, by what it has left.
+    static Milliseconds waitedBefore(Milliseconds timeout, Milliseconds left)
+    {
+        const Milliseconds used = timeout - left;
+        if (used <= timeout * kOwnTimeSpread)
+            return 0ms;
+        return std::chrono::duration_cast<Milliseconds>(used - timeout * (kOwnTimeSpread / 2));
+    }
+
     /// Draws one of a route's services by weight.
     const PlanService *pickService(const Exchange &exchange)
     {
