Pass pieces of weights on through the zone's gateways

Each stager had to send a whole copy over its own thin link, at three quarters of it, since its engine's answers go the same way: 3.5 s. The gateways' links are wide. A stager that brings a piece into its zone now gives it to one of the zone's gateways, which sends it to the zone's other stagers at once and keeps nothing; neighbours are told of pieces 200 ms later, and what the relay lost they fetch from each other as before. Ruled out: the origin (one copy in 2.8 s), the swarm's choice of holders (all uplinks were busy throughout).

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "node_options.h"
 #include "numbered_events.h"
+#include "piece_relay.h"
 #include "program.h"
 #include "registry_node.h"
 #include "retry_budget.h"
@@ -29,6 +30,9 @@
 namespace {
 
 constexpr Milliseconds kDeadlineTick = 50ms;
+constexpr Milliseconds kRelayTick = 5ms;
+/// Share of the machine's link for pieces of weights; clients' answers use the rest.
+constexpr double kRelayShare = 0.5;
 /// The balancer asks once a second and forgets an instance after two misses;
 /// clients that it sends meanwhile are still served.
 constexpr Milliseconds kStopLag = 2500ms;
@@ -54,6 +58,8 @@
 /// Clients give each request a time of their own, shorter than its route's by up
 /// to this share: only one with less left has asked before.
 constexpr double kOwnTimeSpread = 0.15;
+constexpr double kBytesPerMegabit = 125000;
+constexpr double kThousand = 1000;
 /// Bytes that a slow client may leave unread.
 constexpr std::size_t kMaxPending = 1U << 20U;
 constexpr std::size_t kMaxBuffered = 16U << 20U;
@@ -119,6 +125,7 @@
     std::uint64_t repeats{ 0 };
     std::uint64_t resumes{ 0 };
     std::uint64_t gone{ 0 };
+    std::uint64_t piecesRelayed{ 0 };
 };
 
 std::uint64_t randomSeed()
@@ -148,7 +155,9 @@
                  { .stateChanged = [this] { this->onState(); },
                    .upstreamChanged =
                            [this](const UpstreamRecord &record) { this->onUpstream(record); } }),
-          upstreams(choiceOptions(settings), randomSeed()), calls(this->pool.context()),
+          upstreams(choiceOptions(settings), randomSeed()),
+          relay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kThousand * kRelayShare }),
+          calls(this->pool.context()),
           front(this->pool.context(), { .listen = *Endpoint::parse(settings.clientAddress) },
                 [this](HttpRequest &&request, const FrontReplyPtr &reply) {
                     this->handle(std::move(request), reply);
@@ -167,6 +176,7 @@
             return false;
         }
         this->pool.every(kViewTick, [this] { this->onViewTick(); });
+        this->pool.every(kRelayTick, [this] { this->sendPieces(); });
         this->pool.every(kDeadlineTick, [this] {
             this->endLate();
             this->recallOutdated();
@@ -231,6 +241,7 @@
         line("requests_repeated_total", this->counters.repeats);
         line("streams_resumed_total", this->counters.resumes);
         line("clients_gone_total", this->counters.gone);
+        line("pieces_relayed_total", this->counters.piecesRelayed);
         line("requests_in_flight", this->exchanges.size());
         line("upstreams", this->upstreams.size());
         const PoolCounters &outbound = this->calls.counters();
@@ -277,6 +288,32 @@
             this->reader.onView(link, *view);
         else if (const auto *notice = std::get_if<LoadNotice>(&frame.message))
             this->upstreams.onNotice(*notice, bootNow());
+        else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
+            this->onPiece(link, *piece);
+    }
+
+    /// Takes a piece of weights that a stager of the own zone has for the others.
+    void onPiece(const LinkPtr &link, const BlockReply &piece)
+    {
+        std::vector<std::string> receivers;
+        for (const auto &[id, record] : this->reader.view().upstreams().all()) {
+            const std::string stager = linkEndpointOf(this->settings, record.endpoint);
+            const bool isOther = !record.model.empty() && record.zone == this->settings.zone
+                                 && stager != link->target();
+            if (isOther && record.notice != UpstreamNotice::gone && !record.isQuiet)
+                receivers.push_back(stager);
+        }
+        this->relay.onPiece(piece, receivers, bootNow());
+        this->sendPieces();
+    }
+
+    void sendPieces()
+    {
+        const TimePoint now = bootNow();
+        while (const auto copy = this->relay.next(now)) {
+            ++this->counters.piecesRelayed;
+            this->hub.send(copy->to, Channel::serve, *copy->piece);
+        }
     }
 
     void onDown(const LinkPtr &link) { this->reader.onDown(link); }
@@ -877,6 +914,7 @@
     LinkHub hub;
     ViewReader reader;
     UpstreamChoice upstreams;
+    PieceRelay relay;
     HttpPool calls;
     HttpFront front;
     PlanIndexPtr plan;
--- /dev/null
+++ b/src/piece_relay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "generated/messages.h"
+#include "types.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egret {
+
+struct PieceRelayOptions
+{
+    double bytesPerMs{ 0 };      ///< that copies may take of the machine's link, 0 for no bound
+    Milliseconds patience{ 1s }; ///< a copy that waits longer is dropped: its receiver asks others
+};
+
+/// A copy that is to be sent now.
+struct PieceCopy
+{
+    std::string to; ///< link address of a stager
+    std::shared_ptr<const BlockReply> piece;
+};
+
+/// Passes pieces of weights that one stager of an availability zone has brought
+/// in on to the others of the zone. Stagers have thin links, which their engines'
+/// answers share: each piece leaves its stager once, however many need it.
+/// Keeps nothing; what it loses, stagers fetch from each other. Deterministic;
+/// not thread safe.
+class PieceRelay
+{
+public:
+    explicit PieceRelay(PieceRelayOptions options) : options(options) {}
+
+    /// Takes a piece for all of `receivers`.
+    void onPiece(const BlockReply &piece, const std::vector<std::string> &receivers, TimePoint now);
+
+    /// The next copy whose time has come; empty when there is none.
+    std::optional<PieceCopy> next(TimePoint now);
+
+private:
+    struct Waiting
+    {
+        PieceCopy copy;
+        TimePoint since;
+    };
+
+    PieceRelayOptions options;
+    std::deque<Waiting> waiting;
+    TimePoint freeAt; ///< the link's share is used up until then
+};
+
+} // namespace egret
--- a/src/serving_plan.h
+++ b/src/serving_plan.h
@@ -13,7 +13,6 @@
 namespace egret {
 
 using Micros = std::chrono::duration<double, std::micro>;
-using FloatMilliseconds = std::chrono::duration<double, std::milli>;
 
 /// How the engines of a service work, as their operator states it.
 struct EngineSpec
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -162,7 +162,7 @@
         else if (const auto *request = std::get_if<BlockRequest>(&frame.message))
             this->answerPiece(link, *request);
         else if (const auto *reply = std::get_if<BlockReply>(&frame.message))
-            this->onPiece(link->target(), *reply);
+            this->onPiece(link, *reply);
         else if (const auto *holdings = std::get_if<Holdings>(&frame.message))
             this->onHoldings(*holdings);
         else if (const auto *have = std::get_if<Have>(&frame.message)) {
@@ -412,7 +412,7 @@
         const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
                                .zone = this->settings.zone,
                                .region = this->settings.region };
-        this->swarm.emplace(stagingSwarm(self, isNew));
+        this->swarm.emplace(stagingSwarm(self, isNew, !this->relays().empty()));
         this->swarm->setPeers(this->peers(), now);
         this->swarm->start(this->digests.size(), held, 1, now);
         this->staging.onHeldChecked(held.full() ? HeldPieces::all : HeldPieces::some, now);
@@ -532,6 +532,15 @@
 
     // The swarm.
 
+    /// A piece that is to be sent.
+    struct Upload
+    {
+        LinkPtr link;
+        BlockRequest request;
+        TimePoint askedAt;
+        bool isUrgent{ false }; ///< a whole zone waits for it
+    };
+
     std::vector<PeerRecord> peers() const
     {
         std::vector<PeerRecord> all;
@@ -659,56 +668,121 @@
                 [this, piece, version](const CallResult &result) {
                     this->originBytes += result.body.size();
                     if (this->isCurrent(version))
-                        this->take(piece, result.isGood() ? result.body : "");
+                        this->take(piece, result.isGood() ? result.body : "", PieceFrom::outside);
                 });
     }
 
-    void onPiece(const std::string &peer, const BlockReply &reply)
+    void onPiece(const LinkPtr &link, const BlockReply &reply)
     {
+        if (!this->isCurrent(reply.version))
+            return;
+        if (link->peer().role == Role::entry)
+            return this->onGivenPiece(reply);
+        const std::string &peer = link->target();
         const auto asked = this->chunkReads.find(reply.chunk);
-        if (!this->isCurrent(reply.version) || asked == this->chunkReads.end()
-            || asked->second != peer)
+        if (asked == this->chunkReads.end() || asked->second != peer)
             return;
         this->chunkReads.erase(asked);
         this->peerBytes += reply.bytes.size();
         this->swarm->onBlock(reply.chunk, bootNow());
-        this->take(reply.chunk, reply.bytes);
+        this->take(reply.chunk, reply.bytes,
+                   this->swarm->isRemote(peer) ? PieceFrom::outside : PieceFrom::neighbour);
+    }
+
+    /// Takes a piece that a gateway passes on; the transfer of it that may be under
+    /// way is not waited for.
+    void onGivenPiece(const BlockReply &reply)
+    {
+        if (this->swarm->holdings().has(reply.chunk))
+            return;
+        this->peerBytes += reply.bytes.size();
+        this->chunkReads.erase(reply.chunk);
+        this->take(reply.chunk, reply.bytes, PieceFrom::relay);
     }
 
+    /// Where a piece came from.
+    enum class PieceFrom : std::uint8_t {
+        outside,   ///< the origin or another region: nobody else in the zone has it
+        neighbour, ///< a stager of the own region, which was asked
+        relay,     ///< a gateway, unasked
+    };
+
     /// Verifies a piece and stages it; what is not whole is fetched again.
-    void take(std::size_t piece, const std::string &bytes)
+    void take(std::size_t piece, const std::string &bytes, PieceFrom from)
     {
         const TimePoint now = bootNow();
-        if (bytes.empty())
-            return this->swarm->onFetched(piece, FetchOutcome::failed, 0ms, now);
-        if (!this->isPiece(piece, bytes)) {
+        const bool isGood = this->isPiece(piece, bytes);
+        if (!isGood && !bytes.empty()) {
             ++this->damaged;
             logWarn("a piece of weights is damaged", { { "piece", piece } });
-            return this->swarm->onFetched(piece, FetchOutcome::corrupt, 0ms, now);
         }
+        if (!isGood && from == PieceFrom::relay)
+            return;
+        if (!isGood)
+            return this->swarm->onFetched(
+                    piece, bytes.empty() ? FetchOutcome::failed : FetchOutcome::corrupt, 0ms, now);
         const std::string version = this->versionName();
         this->callEngine({ .method = "PUT",
                            .target = this->dialect.putTarget(this->spec->model, piece),
                            .body = bytes },
-                         kLocalTimeout, [this, piece, version](const CallResult &result) {
+                         kLocalTimeout, [this, piece, version, from](const CallResult &result) {
                              if (this->isCurrent(version))
-                                 this->swarm->onFetched(piece,
-                                                        result.isGood() ? FetchOutcome::kept
-                                                                        : FetchOutcome::failed,
-                                                        0ms, bootNow());
+                                 this->onStaged(piece, result.isGood(), from);
                          });
     }
 
-    /// Queues a peer's request. Those from other regions go first: a whole
-    /// region waits for each.
+    void onStaged(std::size_t piece, bool isKept, PieceFrom from)
+    {
+        const TimePoint now = bootNow();
+        if (from != PieceFrom::relay)
+            this->swarm->onFetched(piece, isKept ? FetchOutcome::kept : FetchOutcome::failed, 0ms,
+                                   now);
+        else if (isKept)
+            this->swarm->onGiven(piece, now);
+        if (isKept && from == PieceFrom::outside)
+            this->passOn(piece);
+    }
+
+    /// Links of the gateways that pass pieces on within the zone, in an order that
+    /// all stagers of the zone share.
+    std::vector<LinkPtr> relays()
+    {
+        std::vector<LinkPtr> links = this->hub.peers(Role::entry);
+        std::erase_if(links, [this](const LinkPtr &link) {
+            return link->peer().zone != this->settings.zone;
+        });
+        std::ranges::sort(links, {}, [](const LinkPtr &link) { return link->peer().endpoint; });
+        return links;
+    }
+
+    /// Gives a piece to one of the zone's gateways, for the zone's other stagers.
+    void passOn(std::size_t piece)
+    {
+        const std::vector<LinkPtr> links = this->relays();
+        if (links.empty())
+            return;
+        this->queueUpload(
+                { .link = links[piece % links.size()],
+                  .request = { .version = this->versionName(),
+                               .chunk = static_cast<std::uint32_t>(piece),
+                               .size = static_cast<std::uint32_t>(this->spec->chunkBytes) },
+                  .askedAt = bootNow(),
+                  .isUrgent = true });
+    }
+
     void answerPiece(const LinkPtr &link, const BlockRequest &request)
     {
-        const Upload upload{ .link = link,
-                             .request = request,
-                             .askedAt = bootNow(),
-                             .isRemote = link->peer().region != this->settings.region };
-        const auto isLocal = [](const Upload &each) { return !each.isRemote; };
-        const auto place = upload.isRemote ? std::ranges::find_if(this->uploads, isLocal)
+        this->queueUpload({ .link = link,
+                            .request = request,
+                            .askedAt = bootNow(),
+                            .isUrgent = link->peer().region != this->settings.region });
+    }
+
+    /// Queues a piece that is to be sent. Those for which a whole zone waits go first.
+    void queueUpload(const Upload &upload)
+    {
+        const auto isOther = [](const Upload &each) { return !each.isUrgent; };
+        const auto place = upload.isUrgent ? std::ranges::find_if(this->uploads, isOther)
                                            : this->uploads.end();
         this->uploads.insert(place, upload);
         this->uploadNext();
@@ -818,15 +892,6 @@
         }
     }
 
-    /// A peer's request for a piece.
-    struct Upload
-    {
-        LinkPtr link;
-        BlockRequest request;
-        TimePoint askedAt;
-        bool isRemote{ false };
-    };
-
     /// A gateway that hears how the engine stands.
     struct NoticeReader
     {
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -14,12 +14,14 @@
 /// still or a link was down is lost, and a whole region may wait for it.
 constexpr Milliseconds kLongestAsk = 500ms;
 constexpr std::size_t kAsksAtOnce = 5;
+/// Time in which a piece that is passed on has reached a whole zone.
+constexpr Milliseconds kRelayTime = 200ms;
 /// Seconds without a piece after which any stager asks the origin.
 constexpr std::uint8_t kSourceWidening = 4;
 
 } // namespace
 
-SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew)
+SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew, bool isRelayed)
 {
     return { .self = self,
              .maxTransfers = 6,
@@ -31,6 +33,7 @@
              .idleLimit = kUploadLimit,
              .sourceLimit = kOriginTimeout,
              .longestAsk = kLongestAsk,
+             .newsDelay = isRelayed ? kRelayTime : 0ms,
              .asksAtOnce = kAsksAtOnce,
              .stallLimit = 1500ms,
              .judgePeriod = 500ms,
--- a/src/staging.h
+++ b/src/staging.h
@@ -16,8 +16,9 @@
 inline constexpr Milliseconds kUploadLimit = 2500ms;
 
 /// How stagers bring in the pieces of a version whose bound is a few seconds
-/// long. `isNew`: nothing of it can be anywhere yet.
-SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew);
+/// long. `isNew`: nothing of it can be anywhere yet. `isRelayed`: gateways pass
+/// pieces on within the zone.
+SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew, bool isRelayed);
 
 struct StagingOptions
 {
--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -235,7 +235,20 @@
         if (transfer.from != nullptr && outcome == FetchOutcome::corrupt)
             this->distrust(*transfer.from, now);
     }
-    if (outcome != FetchOutcome::kept || chunk >= this->held.size() || this->held.has(chunk))
+    if (outcome == FetchOutcome::kept)
+        this->keep(chunk, from, now);
+}
+
+void Swarm::onGiven(std::size_t chunk, TimePoint now)
+{
+    this->endTransfer(chunk);
+    this->keep(chunk, Reach::zone, now);
+}
+
+/// Notes that a chunk is held, which came from so far.
+void Swarm::keep(std::size_t chunk, Reach from, TimePoint now)
+{
+    if (chunk >= this->held.size() || this->held.has(chunk))
         return;
     this->ready.erase(this->readyKey(chunk));
     this->held.add(chunk);
@@ -246,7 +259,7 @@
         this->widening = 0;
         this->countHolders();
     }
-    this->announce(chunk, from);
+    this->announce(chunk, from, now);
 }
 
 std::vector<SwarmAction> Swarm::tick(TimePoint now)
@@ -682,13 +695,17 @@
         return;
     this->newsAt = now;
     for (auto &[endpoint, member] : this->members) {
-        const ChunkSet &known = member.held;
-        std::erase_if(member.news, [&known](std::uint32_t chunk) { return known.has(chunk); });
-        if (member.news.empty())
-            continue;
-        actions.push_back({ .kind = SwarmAction::Kind::sendHave,
-                            .peer = endpoint,
-                            .chunks = std::exchange(member.news, {}) });
+        std::vector<std::uint32_t> due;
+        std::erase_if(member.news, [&](const News &each) {
+            const bool isKnown = member.held.has(each.chunk);
+            if (!isKnown && now >= each.notBefore)
+                due.push_back(each.chunk);
+            return isKnown || now >= each.notBefore;
+        });
+        if (!due.empty())
+            actions.push_back({ .kind = SwarmAction::Kind::sendHave,
+                                .peer = endpoint,
+                                .chunks = std::move(due) });
     }
 }
 
@@ -712,7 +729,10 @@
 /// repairs lost news, and tells a restarted agent what there is.
 void Swarm::askHoldings(TimePoint now, std::vector<SwarmAction> &actions)
 {
-    if (now < this->askAt || !this->ready.empty() || this->options.policy == WeightsPolicy::origin)
+    const bool isGiven = this->askTurn > 0 && this->options.newsDelay > 0ms
+                         && now < this->gainedAt + this->options.newsDelay;
+    if (now < this->askAt || !this->ready.empty() || isGiven
+        || this->options.policy == WeightsPolicy::origin)
         return;
     this->askAt = now + this->askPeriod;
     std::vector<const Member *> candidates;
@@ -754,24 +774,24 @@
 
 /// Notes whom to tell of a chunk that is now held and came from so far: also one
 /// that was fetched without duty is the first in its region, or of all.
-void Swarm::announce(std::size_t chunk, Reach from)
+void Swarm::announce(std::size_t chunk, Reach from, TimePoint now)
 {
     if (this->options.policy == WeightsPolicy::origin)
         return;
     const auto number = static_cast<std::uint32_t>(chunk);
     for (auto &[endpoint, member] : this->members) {
         if (member.neighbour)
-            member.news.push_back(number);
+            member.news.push_back({ .chunk = number, .notBefore = now + this->options.newsDelay });
     }
     const Slot &slot = this->slotOf(chunk);
     const Reach reach = std::max(slot.reach, from);
     if (reach >= Reach::remote) {
         for (Member *first : slot.zoneFirsts)
-            first->news.push_back(number);
+            first->news.push_back({ .chunk = number, .notBefore = now });
     }
     if (reach == Reach::source) {
         for (Member *first : slot.regionFirsts)
-            first->news.push_back(number);
+            first->news.push_back({ .chunk = number, .notBefore = now });
     }
 }
 
--- a/src/swarm.h
+++ b/src/swarm.h
@@ -6,6 +6,7 @@
 #include "source_pool.h"
 #include "types.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -69,11 +70,14 @@
     Milliseconds idleLimit{ 5s };    ///< time without a block after which a transfer is given up
     Milliseconds sourceLimit{ 30s }; ///< time after which a source's answer is given up
     Milliseconds longestAsk{ 4s };   ///< longest time between two questions while starved
-    std::size_t asksAtOnce{ 1 };     ///< peers that are asked each time after the first
-    Milliseconds stallLimit{ 6s };   ///< time of silence, or without progress while others
-                                     ///< progress, after which a head is passed over
-    Milliseconds judgePeriod{ 4s };  ///< heads are judged this often
-    Milliseconds patience{ 5s };     ///< starved time after which the rules on whom to ask widen
+    /// Before neighbours are told of a chunk: where chunks are passed on to them,
+    /// most have it by then.
+    Milliseconds newsDelay{ 0 };
+    std::size_t asksAtOnce{ 1 };    ///< peers that are asked each time after the first
+    Milliseconds stallLimit{ 6s };  ///< time of silence, or without progress while others
+                                    ///< progress, after which a head is passed over
+    Milliseconds judgePeriod{ 4s }; ///< heads are judged this often
+    Milliseconds patience{ 5s };    ///< starved time after which the rules on whom to ask widen
     /// Steps of that after which any agent asks a source, and twice as many where
     /// the agent that is to ask it is still heard: then the source gives nobody anything.
     std::uint8_t sourceWidening{ 12 };
@@ -116,6 +120,9 @@
     /// Takes the end of a transfer; `retryAfter` is what a source asked for, or zero.
     void onFetched(std::size_t chunk, FetchOutcome outcome, Milliseconds retryAfter, TimePoint now);
 
+    /// Takes a chunk that came without being asked for, and is kept.
+    void onGiven(std::size_t chunk, TimePoint now);
+
     /// Decides what to do now; call every few tens of milliseconds.
     std::vector<SwarmAction> tick(TimePoint now);
 
@@ -137,6 +144,12 @@
     /// How far an agent may reach for a chunk.
     enum class Reach : std::uint8_t { zone, region, remote, source };
 
+    struct News
+    {
+        std::uint32_t chunk{ 0 };
+        TimePoint notBefore;
+    };
+
     struct Member
     {
         PeerRecord record;
@@ -153,7 +166,7 @@
         std::size_t windowGain{ 0 };  ///< chunks gained in the last whole window
         std::size_t transfers{ 0 };   ///< running from this member
         TimePoint avoidUntil;
-        std::vector<std::uint32_t> news; ///< held chunks that it is to be told of
+        std::deque<News> news; ///< held chunks that it is to be told of
     };
 
     struct Transfer
@@ -203,9 +216,10 @@
     void askHoldings(TimePoint now, std::vector<SwarmAction> &actions);
 
     void distrust(Member &member, TimePoint now);
-    void announce(std::size_t chunk, Reach from);
+    void announce(std::size_t chunk, Reach from, TimePoint now);
     Reach distanceOf(const Transfer &transfer) const;
     void noticePause(TimePoint now);
+    void keep(std::size_t chunk, Reach from, TimePoint now);
     void endTransfer(std::size_t chunk);
     bool maySource(TimePoint now) const;
     Duration transferLimit() const;
--- a/src/types.h
+++ b/src/types.h
@@ -13,6 +13,7 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 using Milliseconds = std::chrono::milliseconds;
+using FloatMilliseconds = std::chrono::duration<double, std::milli>;
 using Seconds = std::chrono::seconds;
 
 using namespace std::chrono_literals;
--- a/tests/swarm_test.cpp
+++ b/tests/swarm_test.cpp
@@ -420,7 +420,7 @@
 {
     constexpr Milliseconds pieceTime = 100ms;
     for (int names = 0; names < 12; ++names) {
-        Fleet fleet(18, 3, stagingSwarm({}, true), "fleet-" + std::to_string(names) + "-");
+        Fleet fleet(18, 3, stagingSwarm({}, true, false), "fleet-" + std::to_string(names) + "-");
         fleet.pieceTime = pieceTime;
         fleet.sourceTimeout = 400ms;
         for (std::size_t i = 0; i < fleet.nodes.size(); ++i)
