Confirm each relayed piece, draw from the origin through twelve stagers, use unlinked engines last

Now a receiver has one copy on its way at a time and confirms it, pulls are four at once, and an engine whose stager's link doesn't stand is used last, and not at all when its weights are about to run out of time.

Staging took 3.5 s where the origin's link takes 2.6: with two connections from each of 27 stagers the origin's 48 were used up, and what it reset was tried again. Twelve heads over all zones draw from it now; the others tell nothing of duty. A head counts as behind only while others have more than it, and the one by hash leaves a chunk to a stand-in that is heard, for a second without gain at most. Ruled out: one piece at a time from each stager (staged after 4.8 to 6.5 s), passing pieces on to other regions through gateways as well (3.9 against 3.6 s).

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -290,6 +290,8 @@
             this->upstreams.onNotice(*notice, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
             this->onPiece(link, *piece);
+        else if (std::holds_alternative<Have>(frame.message))
+            this->relay.onTaken(link->target());
     }
 
     /// Takes a piece of weights that a stager of the own zone has for the others.
@@ -394,9 +396,11 @@
             if (record.notice == UpstreamNotice::gone || record.model.empty() || record.isQuiet)
                 continue;
             if (const auto endpoint =
-                        Endpoint::parse(linkEndpointOf(this->settings, record.endpoint)))
-                this->upstreams.setRoundTrip(
-                        record.endpoint, this->hub.open(*endpoint, Channel::serve)->roundTrip());
+                        Endpoint::parse(linkEndpointOf(this->settings, record.endpoint))) {
+                const LinkPtr link = this->hub.open(*endpoint, Channel::serve);
+                this->upstreams.setPath(record.endpoint, { .isLinked = link->established(),
+                                                           .roundTrip = link->roundTrip() });
+            }
         }
     }
 
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -674,9 +674,15 @@
 
     void onPiece(const LinkPtr &link, const BlockReply &reply)
     {
+        const Hello peerHello = link->peer();
+        // The gateway waits for this before it sends another.
+        if (peerHello.role == Role::entry)
+            link->send(Have{ .endpoint = ownLinkEndpoint(this->settings),
+                             .version = reply.version,
+                             .chunks = { reply.chunk } });
         if (!this->isCurrent(reply.version))
             return;
-        if (link->peer().role == Role::entry)
+        if (peerHello.role == Role::entry)
             return this->onGivenPiece(reply);
         const std::string &peer = link->target();
         const auto asked = this->chunkReads.find(reply.chunk);
@@ -801,7 +807,7 @@
         this->isUploading = true;
         const Upload upload = this->uploads.front();
         this->uploads.pop_front();
-        this->sendPiece(upload.link, upload.request);
+        this->sendPiece(upload);
         const bool isIdle = this->report && this->report->active == 0;
         const double share = isIdle ? kIdleUploadShare : kUploadShare;
         const double rate = this->settings.linkMbps * share / 8 * 1000; // bytes a millisecond
@@ -816,19 +822,21 @@
         });
     }
 
-    void sendPiece(const LinkPtr &link, const BlockRequest &request)
+    void sendPiece(const Upload &upload)
     {
-        const auto refuse = [link, request] {
+        const BlockRequest &request = upload.request;
+        const auto refuse = [link = upload.link, request] {
             link->send(BlockReply{ .version = request.version, .chunk = request.chunk });
         };
         if (!this->isCurrent(request.version) || !this->swarm->holdings().has(request.chunk))
             return refuse();
-        this->readPiece(request.chunk, [this, link, request, refuse](const PieceRead &read) {
+        this->readPiece(request.chunk, [this, upload, refuse](const PieceRead &read) {
             if (read.bytes.empty())
                 return refuse();
             this->servedBytes += read.bytes.size();
-            link->send(BlockReply{
-                    .version = request.version, .chunk = request.chunk, .bytes = read.bytes });
+            upload.link->send(BlockReply{ .version = upload.request.version,
+                                          .chunk = upload.request.chunk,
+                                          .bytes = read.bytes });
         });
     }
 
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// More would let requests to the engine wait behind pieces on a narrowed link.
+constexpr std::size_t kTransfers = 4;
+/// Stagers that fetch from the origin, over all zones: it takes few connections,
+/// and two pieces from each of these keep its link full.
+constexpr std::size_t kHeads = 12;
 /// Peers say what they hold before the origin is asked: for a version named just
 /// now there is nothing to hear.
 constexpr Milliseconds kAnswerTimeNew = 20ms;
@@ -24,9 +29,10 @@
 SwarmOptions stagingSwarm(const PeerRecord &self, bool isNew, bool isRelayed)
 {
     return { .self = self,
-             .maxTransfers = 6,
+             .maxTransfers = kTransfers,
              .maxPeerTransfers = 1,
              .maxSourceTransfers = kOriginPieces,
+             .heads = kHeads,
              .settleTime = 0ms,
              .answerTime = isNew ? kAnswerTimeNew : kAnswerTimeOld,
              .settleLimit = 2s,
--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -451,9 +451,12 @@
     return at == 0 ? nullptr : order[(at - 1) / 2];
 }
 
-/// Whether an agent that is to fetch a chunk from a source was heard of late.
+/// Whether an agent that is to fetch a chunk from a source was heard of late. Who
+/// is no head hears of them too little to tell.
 bool Swarm::isFetcherHeard(std::size_t chunk) const
 {
+    if (!this->own.head)
+        return true;
     return std::ranges::any_of(this->slotOf(chunk).sourceFirsts, [this](const Member *first) {
         return first != &this->own && this->tickedAt - first->heardAt <= this->options.stallLimit;
     });
@@ -589,8 +592,8 @@
 }
 
 /// Marks heads that are silent or far slower than the median; all heads are
-/// judged by the same rule, this agent among them, so that views agree. While
-/// nobody gains, as when a source is down, nobody is behind.
+/// judged by the same rule, this agent among them, so that views agree. While a
+/// source is down nobody is behind but who has less than others.
 void Swarm::judgeHeads(TimePoint now)
 {
     if (now - this->windowAt < this->options.judgePeriod)
@@ -599,7 +602,9 @@
     this->own.heardAt = now;
     std::vector<std::size_t> gains;
     TimePoint newest = this->startedAt;
+    std::size_t most = 0;
     for (Member *head : this->heads) {
+        most = std::max(most, head->progress);
         head->windowGain = head->progress - head->windowStart;
         head->windowStart = head->progress;
         gains.push_back(head->windowGain);
@@ -616,7 +621,8 @@
     }
     for (Member *head : this->heads) {
         const bool isSilent = now - head->heardAt > this->options.stallLimit;
-        const bool isBehind = newest - head->progressAt > this->options.stallLimit;
+        const bool isBehind =
+                head->progress < most && newest - head->progressAt > this->options.stallLimit;
         const bool isSlow = median >= kLeastMedian && head->windowGain * kSlowFactor < median;
         const bool isWhole = head->progress == this->held.size();
         const bool stalled = !isWhole && (isBehind || isSilent || isSlow);
@@ -652,6 +658,7 @@
 
 void Swarm::fetchFromSources(TimePoint now, std::vector<SwarmAction> &actions)
 {
+    std::vector<std::uint32_t> left;
     while (!this->designated.empty() && this->maySource(now)) {
         const std::size_t chunk = this->designated.back();
         const bool isTaken =
@@ -661,15 +668,34 @@
             this->designated.pop_back();
             continue;
         }
+        if (this->leavesToOther(chunk, now)) {
+            left.push_back(this->designated.back());
+            this->designated.pop_back();
+            continue;
+        }
         const auto source = this->sources.choose(now);
         if (!source)
-            return;
+            break;
         this->designated.pop_back();
         this->transfers[chunk] = { .source = *source, .startedAt = now, .heardAt = now };
         ++this->sourceTransfers;
         actions.push_back(
                 { .kind = SwarmAction::Kind::fetchFromSource, .chunk = chunk, .source = *source });
     }
+    this->designated.insert(this->designated.end(), left.rbegin(), left.rend());
+}
+
+/// Whether a chunk that is this agent's by hash is left to the one that stands in
+/// for it, which is there and may be at it; not for long without any gain.
+bool Swarm::leavesToOther(std::size_t chunk, TimePoint now) const
+{
+    if (this->options.policy != WeightsPolicy::swarm)
+        return false;
+    const std::vector<Member *> &firsts = this->slotOf(chunk).sourceFirsts;
+    if (firsts.size() < 2 || firsts.back() != &this->own)
+        return false;
+    return now - firsts.front()->heardAt <= this->options.stallLimit
+           && now - this->gainedAt < this->options.patience;
 }
 
 /// An agent that is long starved asks further away, in steps. Agents differ in
--- a/src/swarm.h
+++ b/src/swarm.h
@@ -181,7 +181,7 @@
     struct Slot
     {
         Reach reach{ Reach::zone };
-        std::vector<Member *> sourceFirsts; ///< up to two
+        std::vector<Member *> sourceFirsts; ///< the standing one, then the one by hash
         std::vector<Member *> regionFirsts; ///< of the other regions, up to two of each
         std::vector<Member *> zoneFirsts;   ///< of the other zones of the region, up to two of each
     };
@@ -210,6 +210,7 @@
     void judgeHeads(TimePoint now);
     void fetchFromPeers(TimePoint now, std::vector<SwarmAction> &actions);
     void fetchFromSources(TimePoint now, std::vector<SwarmAction> &actions);
+    bool leavesToOther(std::size_t chunk, TimePoint now) const;
     void widenReach(TimePoint now);
     void tellNews(TimePoint now, std::vector<SwarmAction> &actions);
     void tellProgress(TimePoint now, std::vector<SwarmAction> &actions);
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -29,6 +29,8 @@
 constexpr FloatMilliseconds kPlainSpread{ 2 };
 /// A path whose round trip is longer is narrow, lossy or broken.
 constexpr Milliseconds kUsualRoundTrip = 40ms;
+/// What speaks against an upstream whose path is not known.
+constexpr Milliseconds kUnknownPath = 300ms;
 /// What a prediction is raised by where the upstream has not been heard of late.
 constexpr Milliseconds kQuietPenalty = 10s;
 
@@ -95,11 +97,11 @@
         upstream.sent.pop_front();
 }
 
-void UpstreamChoice::setRoundTrip(const std::string &endpoint, Duration roundTrip)
+void UpstreamChoice::setPath(const std::string &endpoint, const UpstreamPath &path)
 {
     const auto found = this->byEndpoint.find(endpoint);
     if (found != this->byEndpoint.end())
-        this->upstreams[found->second].roundTrip = roundTrip;
+        this->upstreams[found->second].path = path;
 }
 
 void UpstreamChoice::setZonesOut(const std::vector<std::string> &zones)
@@ -201,7 +203,8 @@
 {
     return query.version.soon == 0
            || this->versionOf(*candidate.upstream, now) >= query.version.soon
-           || candidate.expected + kBeginMargin <= query.version.soonIn;
+           || (candidate.upstream->path.isLinked
+               && candidate.expected + kBeginMargin <= query.version.soonIn);
 }
 
 /// The version that a request needs: the preferred one where an engine has it.
@@ -261,16 +264,20 @@
     }
     load.queued += this->outliers.penalty(id, now);
     FloatMilliseconds expected = model.firstToken(load, query.promptTokens);
-    if (upstream.roundTrip > kUsualRoundTrip)
-        expected += upstream.roundTrip;
+    if (upstream.path.roundTrip > kUsualRoundTrip)
+        expected += upstream.path.roundTrip;
     if (upstream.record.isQuiet)
         expected += kQuietPenalty;
     const bool isFar = upstream.record.zone != this->options.zone;
+    // Without a link to its stager the path is unknown: a link that is lost again
+    // and again has a full or broken one.
+    const Milliseconds detour =
+            (isFar ? this->options.farther : 0ms) + (upstream.path.isLinked ? 0ms : kUnknownPath);
     return { .id = &id,
              .upstream = &upstream,
              .load = load.active + load.queued,
              .expected = expected,
-             .cost = expected + FloatMilliseconds(isFar ? this->options.farther : 0ms) };
+             .cost = expected + FloatMilliseconds(detour) };
 }
 
 /// A plain service tells nothing of its load: own requests there count.
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -26,6 +26,13 @@
     Milliseconds spread{ 40ms };      ///< differences in prediction that count little
 };
 
+/// How the path to an engine's machine stands, by the link to its stager.
+struct UpstreamPath
+{
+    bool isLinked{ true };   ///< a link stands
+    Duration roundTrip{ 0 }; ///< of a message; a narrow or broken path shows in it
+};
+
 /// What is asked for.
 struct ChoiceQuery
 {
@@ -81,9 +88,8 @@
     /// Takes what the stager beside an engine says of it.
     void onNotice(const LoadNotice &notice, TimePoint now);
 
-    /// Sets the time that a message to an engine's machine takes there and back;
-    /// a narrow or broken path shows in it.
-    void setRoundTrip(const std::string &endpoint, Duration roundTrip);
+    /// Sets how the path to an engine's machine stands.
+    void setPath(const std::string &endpoint, const UpstreamPath &path);
 
     /// Sets the zones whose upstreams get nothing new.
     void setZonesOut(const std::vector<std::string> &zones);
@@ -119,7 +125,7 @@
         LoadNotice notice;
         TimePoint noticedAt;
         bool noticed{ false };
-        Duration roundTrip{ 0 };
+        UpstreamPath path;
         std::uint32_t inFlight{ 0 }; ///< own requests there
         std::deque<Sent> sent;       ///< own requests of the last second
         TimePoint refusedUntil;
