Keep retry budgets when the number of gateways changes, measure in-time answers, test three HTTP hazards

Causes, found by reading. A gateway forgot all budgets whenever the number of gateways changed, and so refilled their reserve: RetryBudget takes new bounds now and refills nothing (test fails without). A failed request's next upstream was chosen twice; one choice serves now. Running work on a pool's thread stood in four places: WorkerPool::run.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -20,7 +20,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <future>
 #include <map>
 #include <random>
 #include <thread>
@@ -193,7 +192,7 @@
     bool drain()
     {
         const TimePoint begin = bootNow();
-        this->onThread([this, begin] {
+        this->pool.run([this, begin] {
             this->stopBegan = begin;
             this->stopping = true;
             this->front.refuseReuse();
@@ -203,7 +202,7 @@
         std::size_t left = 0;
         do {
             std::this_thread::sleep_for(kDrainPoll);
-            this->onThread([this, &left, begin] {
+            this->pool.run([this, &left, begin] {
                 if (bootNow() >= begin + kStopLag)
                     this->front.closeIdle();
                 left = this->front.unanswered();
@@ -216,7 +215,7 @@
 
     void stop()
     {
-        this->onThread([this] { this->front.stop(); });
+        this->pool.run([this] { this->front.stop(); });
         this->hub.shutdown();
         this->pool.stop();
     }
@@ -269,17 +268,6 @@
         return options;
     }
 
-    /// Runs `work` on the context's thread and waits for it.
-    void onThread(const std::function<void()> &work)
-    {
-        std::promise<void> done;
-        asio::post(this->pool.context(), [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     // What the gateway knows.
 
     void onFrame(const LinkPtr &link, Frame &&frame)
@@ -492,18 +480,15 @@
     RetryBudget &budgetOf(const std::string &service)
     {
         const std::uint32_t gateways = this->reader.view().gateways();
-        if (gateways != std::exchange(this->budgetGateways, gateways))
-            this->budgets.clear();
-        const auto found = this->budgets.find(service);
-        if (found != this->budgets.end())
-            return found->second;
         const double slack = this->settings.bounds.retrySlack * kSlackShare / gateways;
-        return this->budgets
-                .emplace(service,
-                         RetryBudget({ .ratio = this->settings.bounds.retryRatio * kRatioShare,
-                                       .reserve = slack,
-                                       .most = slack }))
-                .first->second;
+        const RetryBudgetOptions options{ .ratio = this->settings.bounds.retryRatio * kRatioShare,
+                                          .reserve = slack,
+                                          .most = slack };
+        if (gateways != std::exchange(this->budgetGateways, gateways)) {
+            for (auto &[name, budget] : this->budgets)
+                budget.setOptions(options);
+        }
+        return this->budgets.try_emplace(service, options).first->second;
     }
 
     ChoiceQuery queryOf(const Exchange &exchange, TimePoint now, bool isResume)
@@ -769,11 +754,8 @@
         const Verdict verdict = exchange->delivery.onFailureStatus(status, now);
         if (exchange->delivery.hasPassedOn())
             return this->act(exchange, exchange->delivery.onBroken("failure-on-resume", now));
-        const bool hasBudget = verdict.step == NextStep::choose
-                               && this->hasAlternative(*exchange, now)
-                               && this->budgetOf(exchange->service->name).take();
-        if (hasBudget)
-            return this->chooseAgain(exchange, now);
+        if (verdict.step == NextStep::choose && this->repeatsElsewhere(exchange, now))
+            return;
         // A status that would promise "not run" must not be given to what may have run.
         const bool isUntrue = promisesNotRun(status);
         const HttpHeaders headers = passedHeaders(exchange->head);
@@ -783,21 +765,20 @@
         this->conclude(exchange, isUntrue ? kBadGateway : status, "upstream-failure");
     }
 
-    bool hasAlternative(const Exchange &exchange, TimePoint now)
-    {
-        return !this->upstreams.choose(this->queryOf(exchange, now, false), now).upstream.empty();
-    }
-
-    /// Sends a failed request to another upstream; the budget has been asked.
-    void chooseAgain(const ExchangePtr &exchange, TimePoint now)
+    /// Sends a failed request to another upstream; false where there is none, or no
+    /// budget for it.
+    bool repeatsElsewhere(const ExchangePtr &exchange, TimePoint now)
     {
         const Choice choice = this->upstreams.choose(this->queryOf(*exchange, now, false), now);
+        if (choice.upstream.empty() || !this->budgetOf(exchange->service->name).take())
+            return false;
         logInfo("upstream chosen again", { { "request", exchange->facts.id },
                                            { "attempt", exchange->delivery.attempts() + 1 },
                                            { "upstream", choice.upstream },
                                            { "failedStatus", exchange->head.status } });
         ++this->counters.repeats;
         this->send(exchange, choice, now);
+        return true;
     }
 
     void act(const ExchangePtr &exchange, const Verdict &verdict)
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -20,6 +20,13 @@
     explicit RetryBudget(RetryBudgetOptions options = {}) : options(options), saved(options.reserve)
     {}
 
+    /// Takes other bounds; what is saved stays, up to the new most.
+    void setOptions(const RetryBudgetOptions &next)
+    {
+        this->options = next;
+        this->saved = std::min(this->saved, next.most);
+    }
+
     /// Counts a first send.
     void onFirstSend()
     {
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -70,7 +70,7 @@
 
     ~Impl()
     {
-        this->onThread([this] {
+        this->pool.run([this] {
             this->fronts.clear();
             this->calls.reset();
         });
@@ -95,16 +95,6 @@
         std::optional<std::uint64_t> ordered;
     };
 
-    void onThread(const std::function<void()> &work)
-    {
-        std::promise<void> done;
-        asio::post(this->pool.context(), [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     bool listen(const Endpoint &at, FrontHandler handler)
     {
         auto front = std::make_unique<HttpFront>(
@@ -245,7 +235,7 @@
         auto done = std::make_shared<std::promise<void>>();
         auto ended = done->get_future();
         const TimePoint began = bootNow();
-        this->onThread([&] {
+        this->pool.run([&] {
             this->calls->start({ .to = to,
                                  .head = head,
                                  .body = body,
@@ -254,7 +244,14 @@
                                              answer->status = given.status;
                                              answer->headers = given.headers;
                                          },
-                                 .onBody = [answer](std::string &&part) { answer->body += part; },
+                                 .onBody =
+                                         [answer, began](std::string &&part) {
+                                             if (answer->body.empty())
+                                                 answer->firstByte =
+                                                         std::chrono::ceil<Milliseconds>(bootNow()
+                                                                                         - began);
+                                             answer->body += part;
+                                         },
                                  .onEnd =
                                          [answer, done](const CallEnd &end) {
                                              answer->isWhole = end.outcome == CallOutcome::whole;
@@ -314,7 +311,7 @@
         return upstream;
     };
     bool bound = true;
-    this->impl->onThread([&] {
+    this->impl->pool.run([&] {
         const auto serve = [&](int kind, std::uint32_t number, Impl::Upstream &upstream) {
             bound = this->impl->listen(at(kind, number), [this,
                                                           &upstream](HttpRequest &&request,
@@ -461,27 +458,27 @@
 UpstreamRecordOfRuns Deployment::engineRuns(std::uint32_t engine)
 {
     UpstreamRecordOfRuns seen;
-    this->impl->onThread([&] { seen = this->impl->engines.at(engine)->seen; });
+    this->impl->pool.run([&] { seen = this->impl->engines.at(engine)->seen; });
     return seen;
 }
 
 UpstreamRecordOfRuns Deployment::serviceRuns(std::uint32_t service)
 {
     UpstreamRecordOfRuns seen;
-    this->impl->onThread([&] { seen = this->impl->services.at(service)->seen; });
+    this->impl->pool.run([&] { seen = this->impl->services.at(service)->seen; });
     return seen;
 }
 
 std::uint64_t Deployment::originBytes()
 {
     std::uint64_t bytes = 0;
-    this->impl->onThread([&] { bytes = this->impl->originBytes; });
+    this->impl->pool.run([&] { bytes = this->impl->originBytes; });
     return bytes;
 }
 
 void Deployment::rot(std::uint32_t engine, std::size_t piece)
 {
-    this->impl->onThread([&] { this->impl->engines.at(engine)->staged[piece] = "rotten"; });
+    this->impl->pool.run([&] { this->impl->engines.at(engine)->staged[piece] = "rotten"; });
 }
 
 } // namespace egret
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -70,7 +70,7 @@
         int status{ 0 };
         std::string body;
         HttpHeaders headers;
-        Milliseconds firstByte{ 0 }; ///< time to the head of the answer
+        Milliseconds firstByte{ 0 }; ///< time to the first part of the body
     };
 
     /// Calls a registry instance as the operator does, and waits for the answer.
--- a/src/worker_pool.cpp
+++ b/src/worker_pool.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <future>
 #include <memory>
 
 namespace egret {
@@ -80,6 +81,16 @@
     });
 }
 
+void WorkerPool::run(const std::function<void()> &work)
+{
+    std::promise<void> done;
+    asio::post(this->ioContext, [&] {
+        work();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 void WorkerPool::stop()
 {
     this->guard.reset();
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -30,6 +30,9 @@
     /// Runs `work` on a worker after `delay`.
     void after(Milliseconds delay, std::function<void()> work);
 
+    /// Runs `work` on a worker and waits for it; call from outside the pool.
+    void run(const std::function<void()> &work);
+
     /// Ends all work and joins the threads; call from outside the pool.
     void stop();
 
--- a/tests/http_front_test.cpp
+++ b/tests/http_front_test.cpp
@@ -27,7 +27,7 @@
     HttpFrontTest() : pool(1)
     {
         this->address = freeLoopback("127.0.0.1");
-        this->onThread([this] {
+        this->pool.run([this] {
             this->front = std::make_unique<HttpFront>(
                     this->pool.context(),
                     HttpFrontOptions{ .listen = this->address,
@@ -46,20 +46,10 @@
 
     ~HttpFrontTest() override
     {
-        this->onThread([this] { this->front.reset(); });
+        this->pool.run([this] { this->front.reset(); });
         this->pool.stop();
     }
 
-    void onThread(const std::function<void()> &work)
-    {
-        std::promise<void> done;
-        asio::post(this->pool.context(), [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(this->clientContext);
@@ -161,7 +151,7 @@
             std::this_thread::sleep_for(5ms);
     }
     EXPECT_EQ(gone.get_future().wait_for(kTestLimit), std::future_status::ready);
-    this->onThread([&] { kept.reset(); });
+    this->pool.run([&] { kept.reset(); });
 }
 
 TEST_F(HttpFrontTest, AReplyThatIsDroppedClosesTheConnection)
@@ -174,12 +164,26 @@
 {
     auto idle = this->connect();
     this->exchange(idle, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "\r\n\r\n");
-    this->onThread([this] { this->front->refuseReuse(); });
+    this->pool.run([this] { this->front->refuseReuse(); });
     EXPECT_NE(this->once("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("Connection: close"),
               std::string::npos);
-    this->onThread([this] { this->front->closeIdle(); });
+    this->pool.run([this] { this->front->closeIdle(); });
     std::array<char, 1> byte{};
     std::error_code error;
     idle.read_some(asio::buffer(byte), error);
     EXPECT_EQ(error, asio::error::eof);
 }
+
+TEST_F(HttpFrontTest, ARequestWhoseClientLeftBeforeItWasReadIsNotHandled)
+{
+    ASSERT_TRUE(this->started);
+    {
+        auto socket = this->connect();
+        asio::write(socket, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: a\r\n"
+                                                     "Content-Length: 20\r\n\r\nhalf of")));
+    }
+    EXPECT_TRUE(this->once("GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                        .starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(this->handled, 1) << "only the one that came whole";
+    this->pool.run([this] { EXPECT_EQ(this->front->unanswered(), 0U); });
+}
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -32,27 +32,17 @@
     HttpPoolTest()
         : pool(1), acceptor(this->serverContext, { asio::ip::make_address("127.0.0.1"), 0 })
     {
-        this->onThread([this] { this->calls = std::make_unique<HttpPool>(this->pool.context()); });
+        this->pool.run([this] { this->calls = std::make_unique<HttpPool>(this->pool.context()); });
     }
 
     ~HttpPoolTest() override
     {
-        this->onThread([this] { this->calls.reset(); });
+        this->pool.run([this] { this->calls.reset(); });
         this->pool.stop();
         if (this->server.joinable())
             this->server.join();
     }
 
-    void onThread(const std::function<void()> &work)
-    {
-        std::promise<void> done;
-        asio::post(this->pool.context(), [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     Endpoint endpoint() const
     {
         return { .address = "127.0.0.1", .port = this->acceptor.local_endpoint().port() };
@@ -84,7 +74,7 @@
     {
         std::promise<Ended> done;
         auto ended = std::make_shared<Ended>();
-        this->onThread([&] {
+        this->pool.run([&] {
             this->calls->start({
                     .to = this->endpoint(),
                     .head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
@@ -142,7 +132,7 @@
     this->acceptor.close();
     const Endpoint closed = freeLoopback("127.0.0.1");
     std::promise<CallEnd> done;
-    this->onThread([&] {
+    this->pool.run([&] {
         this->calls->start({ .to = closed,
                              .head = "GET / HTTP/1.1\r\n\r\n",
                              .onEnd = [&done](const CallEnd &end) { done.set_value(end); } });
@@ -188,3 +178,75 @@
     EXPECT_EQ(this->call(false).body, "ok");
     EXPECT_EQ(this->accepted, 2);
 }
+
+TEST_F(HttpPoolTest, AnAnswerWhileTheBodyIsOnItsWayIsTakenAndTheRestOfTheBodyFollows)
+{
+    const std::string body(3U << 20U, 'b');
+    std::string rest;
+    this->server = std::thread([&] {
+        asio::ip::tcp::socket socket(this->serverContext);
+        this->acceptor.accept(socket);
+        std::error_code error;
+        asio::read_until(socket, asio::dynamic_buffer(rest), "\r\n\r\n", error);
+        rest.erase(0, rest.find("\r\n\r\n") + 4);
+        asio::write(socket, asio::buffer(kAnswer), error);
+        // What comes where the rest of the body is due is the body, or the end.
+        std::array<char, 65536> part{};
+        while (rest.size() < body.size()) {
+            const std::size_t size = socket.read_some(asio::buffer(part), error);
+            if (error)
+                break;
+            rest.append(part.data(), size);
+        }
+    });
+    std::promise<Ended> done;
+    auto ended = std::make_shared<Ended>();
+    this->pool.run([&] {
+        this->calls->start(
+                { .to = this->endpoint(),
+                  .head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                          + std::to_string(body.size()) + "\r\n\r\n",
+                  .body = body,
+                  .onHead = [ended](const HttpHead &head) { ended->status = head.status; },
+                  .onBody = [ended](std::string &&part) { ended->body += part; },
+                  .onEnd =
+                          [ended, &done](const CallEnd &end) {
+                              ended->end = end;
+                              done.set_value(*ended);
+                          } });
+    });
+    auto future = done.get_future();
+    ASSERT_EQ(future.wait_for(kTestLimit), std::future_status::ready);
+    const Ended answer = future.get();
+    EXPECT_EQ(answer.end.outcome, CallOutcome::whole);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "ok");
+    this->pool.run([this] { this->calls.reset(); });
+    this->server.join();
+    EXPECT_LE(rest.size(), body.size());
+    EXPECT_EQ(rest, body.substr(0, rest.size())) << "no other bytes than the body's";
+}
+
+TEST_F(HttpPoolTest, ABodyThatEndsWithItsConnectionIsWholeOnlyWhenThatEndsInOrder)
+{
+    for (const bool isReset : { false, true }) {
+        std::thread server([&] {
+            asio::ip::tcp::socket socket(this->serverContext);
+            this->acceptor.accept(socket);
+            std::string read;
+            std::error_code error;
+            asio::read_until(socket, asio::dynamic_buffer(read), "\r\n\r\n", error);
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nall of it")),
+                        error);
+            // The part must have been read before a reset can discard it.
+            std::this_thread::sleep_for(100ms);
+            if (isReset)
+                socket.set_option(asio::socket_base::linger(true, 0), error);
+            socket.close(error);
+        });
+        const Ended ended = this->call();
+        server.join();
+        EXPECT_EQ(ended.body, "all of it");
+        EXPECT_EQ(ended.end.outcome, isReset ? CallOutcome::broken : CallOutcome::whole);
+    }
+}
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -203,3 +203,17 @@
     EXPECT_NEAR(detector.penalty("a", kStart + 1s), 1.0, 1e-9);
     EXPECT_EQ(detector.penalty("b", kStart), 0.0);
 }
+
+TEST(RetryBudget, OtherBoundsRefillNothing)
+{
+    // Whenever the number of instances that share a budget changes.
+    RetryBudget budget({ .ratio = 0.1, .reserve = 2.0, .most = 2.0 });
+    EXPECT_TRUE(budget.take());
+    EXPECT_TRUE(budget.take());
+    budget.setOptions({ .ratio = 0.1, .reserve = 3.0, .most = 3.0 });
+    EXPECT_FALSE(budget.take());
+    budget = RetryBudget({ .ratio = 0.1, .reserve = 5.0, .most = 5.0 });
+    budget.setOptions({ .ratio = 0.1, .reserve = 1.0, .most = 1.0 });
+    EXPECT_TRUE(budget.take());
+    EXPECT_FALSE(budget.take()) << "no more is saved than the new bounds allow";
+}
