--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -708,7 +708,7 @@
     const std::uint64_t share = hashOf(this->options.self.endpoint) % hundred;
     const Duration patience = this->options.patience + this->options.patience * share / hundred;
     const auto steps = std::min<std::int64_t>((now - this->gainedAt) / patience,
-                                              2 * this->options.sourceWidening);
+                                              std::int64_t{ 2 } * this->options.sourceWidening);
     if (steps <= this->widening)
         return;
     this->widening = static_cast<std::uint8_t>(steps);
@@ -722,8 +722,9 @@
     this->newsAt = now;
     for (auto &[endpoint, member] : this->members) {
         std::vector<std::uint32_t> due;
-        std::erase_if(member.news, [&](const News &each) {
-            const bool isKnown = member.held.has(each.chunk);
+        const ChunkSet &known = member.held;
+        std::erase_if(member.news, [&due, &known, now](const News &each) {
+            const bool isKnown = known.has(each.chunk);
             if (!isKnown && now >= each.notBefore)
                 due.push_back(each.chunk);
             return isKnown || now >= each.notBefore;
