Add egretctl trace: explain a request from the logs of several processes

It merges the lines of all logs given, orders them by time, explains each decision in words and adds what the instances that had the request came to believe meanwhile of the upstreams that it went to. Lines that can't be read are counted. The programs of the deploy file are unchanged.

--- a/src/operator_tool.cpp
+++ b/src/operator_tool.cpp
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "manifest.h"
 #include "program.h"
+#include "request_trace.h"
 #include "swarm_cost.h"
 
 #include <nlohmann/json.hpp>
@@ -189,6 +190,29 @@
     return missing.empty() ? 0 : kExitFailed;
 }
 
+/// Explains what logs say of a request: `trace REQUEST-ID FILE...`.
+int runTrace(const ToolOptions &options)
+{
+    if (options.words.size() < 2) {
+        std::fprintf(stderr, "egretctl: trace needs a request's id and log files\n");
+        return kExitUsage;
+    }
+    RequestTrace trace(options.words.front());
+    for (std::size_t i = 1; i < options.words.size(); ++i) {
+        std::ifstream file(options.words[i]);
+        if (!file) {
+            std::fprintf(stderr, "egretctl: %s: can't be read\n", options.words[i].c_str());
+            return kExitUsage;
+        }
+        for (std::string line; std::getline(file, line);)
+            trace.addLine(line);
+    }
+    std::printf("%s", trace.text().c_str());
+    if (trace.unreadable() > 0)
+        std::fprintf(stderr, "egretctl: %zu lines can't be read\n", trace.unreadable());
+    return trace.isFound() ? 0 : kExitFailed;
+}
+
 int runBench(const ToolOptions &)
 {
     const auto parts = benchParts();
@@ -236,6 +260,7 @@
         { "digest", { "print the digest of each word", runDigest } },
         { "manifest", { "publish a file as a weights version", runManifest } },
         { "report", { "merge service-level burn; --out FILE writes HTML", runReport } },
+        { "trace", { "explain a request from log files: trace ID FILE...", runTrace } },
         { "bench", { "print the signature of the decision logic", runBench } },
         { "swarm-cost", { "measure the cost of deciding a distribution", runSwarmCost } },
     };
--- /dev/null
+++ b/src/request_trace.cpp
@@ -0,0 +1,165 @@
+#include "request_trace.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace egret {
+
+namespace {
+
+using Fields = nlohmann::json;
+
+std::string field(const Fields &fields, const char *name)
+{
+    const auto found = fields.find(name);
+    if (found == fields.end())
+        return "?";
+    return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+bool isTrue(const Fields &fields, const char *name)
+{
+    return field(fields, name) == "true";
+}
+
+/// What each event of a request says, in words.
+const std::map<std::string, std::function<std::string(const Fields &)>> &explanations()
+{
+    static const std::map<std::string, std::function<std::string(const Fields &)>> table = {
+        { "upstream chosen",
+          [](const Fields &f) {
+              return "attempt " + field(f, "attempt") + " goes to " + field(f, "upstream")
+                     + ": first answer expected after " + field(f, "expectedMs") + " ms, "
+                     + field(f, "load") + " requests believed there (notice "
+                     + field(f, "noticeAgeMs") + " ms old), weights " + field(f, "version");
+          } },
+        { "upstream chosen again",
+          [](const Fields &f) {
+              return "attempt " + field(f, "attempt") + " goes to " + field(f, "upstream")
+                     + " after status " + field(f, "failedStatus");
+          } },
+        { "no upstream can take the request",
+          [](const Fields &f) {
+              return "no upstream (" + field(f, "reason") + "): of " + field(f, "known")
+                     + " known the best would answer after " + field(f, "expectedMs") + " ms, "
+                     + field(f, "firstWithinMs") + " ms are left, weights from "
+                     + field(f, "leastVersion") + " on; to come back after "
+                     + field(f, "retryAfterMs") + " ms";
+          } },
+        { "attempt failed",
+          [](const Fields &f) {
+              return "attempt at " + field(f, "upstream") + " failed (" + field(f, "detail")
+                     + "): " + (isTrue(f, "sent") ? "it may have run" : "nothing was sent")
+                     + (isTrue(f, "passedOn") ? ", the client has a part of the answer" : "");
+          } },
+        { "upstream refused",
+          [](const Fields &f) {
+              return field(f, "upstream") + " refused with " + field(f, "status")
+                     + ": it did not run there";
+          } },
+        { "request is taken back",
+          [](const Fields &f) {
+              return "taken back from " + field(f, "upstream") + ": weights " + field(f, "version")
+                     + " run out of time and it has not begun";
+          } },
+        { "request refused",
+          [](const Fields &f) {
+              return "refused with " + field(f, "status") + " (" + field(f, "reason")
+                     + "), document " + field(f, "document") + " in force here";
+          } },
+        { "request ended",
+          [](const Fields &f) {
+              return "ended as " + field(f, "outcome") + " with status " + field(f, "status")
+                     + " after " + field(f, "ms") + " ms, " + field(f, "attempts")
+                     + " attempts, first part after " + field(f, "firstMs") + " ms; route "
+                     + field(f, "route") + ", document " + field(f, "document");
+          } },
+    };
+    return table;
+}
+
+/// An event without words of its own: its name and fields.
+std::string plain(const Fields &fields)
+{
+    static const std::set<std::string> envelope = { "event", "instance", "level",  "program",
+                                                    "time",  "zone",     "request" };
+    std::string text = field(fields, "event");
+    for (const auto &[name, value] : fields.items()) {
+        if (!envelope.contains(name))
+            text += " " + name + "=" + value.dump();
+    }
+    return text;
+}
+
+std::string explain(const Fields &fields)
+{
+    const auto found = explanations().find(field(fields, "event"));
+    return found == explanations().end() ? plain(fields) : found->second(fields);
+}
+
+} // namespace
+
+void RequestTrace::addLine(std::string_view line)
+{
+    const std::size_t begin = line.find('{');
+    if (begin == std::string_view::npos)
+        return;
+    Fields fields = Fields::parse(line.substr(begin), nullptr, false);
+    if (!fields.is_object() || !fields.contains("event") || !fields.contains("time")) {
+        ++this->damaged;
+        return;
+    }
+    const std::string named = field(fields, "request");
+    const std::string time = field(fields, "time");
+    Line taken{ .time = time, .fields = std::move(fields) };
+    if (named == this->request)
+        this->own.push_back(std::move(taken));
+    else if (named == "?")
+        this->beliefs.push_back(std::move(taken));
+}
+
+/// Whether a belief was formed where and while the request was under way, and is
+/// about an upstream that it went to or about what is in force.
+bool RequestTrace::concerns(const Line &line) const
+{
+    std::set<std::string> instances;
+    std::set<std::string> upstreams;
+    std::string first = this->own.front().time;
+    std::string last = first;
+    for (const Line &each : this->own) {
+        instances.insert(field(each.fields, "instance"));
+        upstreams.insert(field(each.fields, "upstream"));
+        first = std::min(first, each.time);
+        last = std::max(last, each.time);
+    }
+    upstreams.erase("?");
+    const std::string upstream = field(line.fields, "upstream");
+    const bool isAbout = upstream == "?" || upstreams.contains(upstream);
+    return isAbout && line.time >= first && line.time <= last
+           && instances.contains(field(line.fields, "instance"));
+}
+
+std::string RequestTrace::text() const
+{
+    if (this->own.empty())
+        return "no line names request " + this->request + "\n";
+    std::vector<const Line *> lines;
+    for (const Line &line : this->own)
+        lines.push_back(&line);
+    for (const Line &line : this->beliefs) {
+        if (this->concerns(line))
+            lines.push_back(&line);
+    }
+    std::ranges::stable_sort(lines, {}, [](const Line *line) { return line->time; });
+    std::string text;
+    for (const Line *line : lines) {
+        const bool isOwn = line->fields.contains("request");
+        text += line->time + "  " + field(line->fields, "instance") + "  "
+                + (isOwn ? "" : "meanwhile: ") + explain(line->fields) + "\n";
+    }
+    return text;
+}
+
+} // namespace egret
