Log and count what a gateway believes of an upstream in slow start

Metrics: egret_gateways, egret_slow_start_sends_total.

Beside it: nothing else is decided differently. No functional change.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -138,6 +138,7 @@
     std::uint64_t resumes{ 0 };
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
+    std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
 };
 
 std::uint64_t randomSeed()
@@ -261,6 +262,8 @@
         appendMetric("pieces_relayed_total", this->counters.piecesRelayed);
         appendMetric("requests_in_flight", this->exchanges.size());
         appendMetric("upstreams", this->selector.size());
+        appendMetric("gateways", this->viewReader.view().gatewayCount());
+        appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         const HttpPoolCounters &poolCounters = this->upstreamCalls.counters();
         appendMetric("upstream_connections_opened_total", poolCounters.opened);
         appendMetric("upstream_connections_reused_total", poolCounters.reused);
@@ -583,7 +586,10 @@
                                      { "load", selection.load },
                                      { "noticeAgeMs", selection.noticeAge.count() },
                                      { "expectedMs", selection.expectedFirstToken.count() },
-                                     { "version", selection.version } });
+                                     { "version", selection.version },
+                                     { "slowStartMs", selection.slowStartRemaining.count() },
+                                     { "recentSends", selection.recentSends },
+                                     { "gateways", this->viewReader.view().gatewayCount() } });
         if (isResume)
             ++this->counters.resumes;
         else if (exchange->lifecycle.attempts() > 0)
@@ -601,6 +607,8 @@
         exchange->isStreamed = false;
         exchange->events.begin();
         exchange->lifecycle.onSend(selection.upstream);
+        if (selection.slowStartRemaining > 0ms)
+            ++this->counters.slowStartSends;
         this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
         // Tells whether the call's events still matter: false once the request has ended or was
         // sent to another upstream.
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -190,7 +190,10 @@
         .load = selected.load,
         .noticeAge = upstream.hasNotice
                              ? std::chrono::floor<Milliseconds>(now - upstream.noticeReceivedAt)
-                             : 0ms
+                             : 0ms,
+        .slowStartRemaining =
+                std::max(0ms, std::chrono::ceil<Milliseconds>(upstream.slowStartUntil - now)),
+        .recentSends = this->recentSends(upstream, now)
     };
     return selection;
 }
@@ -267,12 +270,17 @@
     if (now >= upstream.slowStartUntil || query.plan == nullptr
         || query.plan->coldRequestsPerSecond <= 0)
         return false;
-    const auto recentCount =
+    const double gatewayShare = query.plan->coldRequestsPerSecond / this->gatewayCount;
+    return this->recentSends(upstream, now) >= std::max(1.0, gatewayShare);
+}
+
+/// Number of requests that this gateway sent to an upstream within `kRecentWindow`.
+std::uint32_t UpstreamSelector::recentSends(const Upstream &upstream, TimePoint now) const
+{
+    return static_cast<std::uint32_t>(
             std::ranges::count_if(upstream.recentRequests, [now](const SentRequest &each) {
                 return each.sentAt > now - kRecentWindow;
-            });
-    const double gatewayShare = query.plan->coldRequestsPerSecond / this->gatewayCount;
-    return static_cast<double>(recentCount) >= std::max(1.0, gatewayShare);
+            }));
 }
 
 UpstreamSelector::Candidate UpstreamSelector::scoreEngine(const std::string &id, Upstream &upstream,
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -82,6 +82,9 @@
     double load{ 0 };                     ///< estimated number of requests at the upstream
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
+    Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
+    /// Requests that this gateway sent to the upstream within the last second, before this one.
+    std::uint32_t recentSends{ 0 };
     NoUpstreamReason problem{ NoUpstreamReason::none }; ///< why no upstream is selected
     /// Delay after which the client may retry, when no upstream is selected.
     Milliseconds retryAfter{ 0 };
@@ -171,6 +174,7 @@
     std::uint64_t reportedVersion(const Upstream &upstream, TimePoint now) const;
     bool isSlowStartLimitReached(Upstream &upstream, const SelectionQuery &query,
                                  TimePoint now) const;
+    std::uint32_t recentSends(const Upstream &upstream, TimePoint now) const;
     std::uint64_t requiredVersion(const SelectionQuery &query, TimePoint now) const;
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
