Add a failing test of the slow-start rate over many gateways

Callers saw: after a restart of everything, engines in slow start were flooded (28 to 32 requests in a second, 26 allowed) and one fell over.

No functional change.

--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -30,6 +30,8 @@
     std::uint32_t pieceCount{ 12 }; ///< pieces of each weights version
     std::uint64_t bytesPerPiece{ 4096 };
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
+    /// Limit in the plan on the request rate to an engine in slow start; 0: no limit.
+    double coldRequestsPerSecond{ 0 };
 };
 
 /// Counters of one simulated upstream: an engine, which serves model weights, or a service, which
@@ -45,6 +47,8 @@
     /// Load orders (requests to an engine to load a weights version) that failed because a staged
     /// piece was missing or corrupt.
     std::uint32_t pieceLoadFailureCount{ 0 };
+    /// Arrival times of clients' requests, without misdirected ones.
+    std::vector<TimePoint> arrivals;
 };
 
 /// Simulated environment, called stand-in deployment in log lines. Simulates, on loopback
@@ -112,6 +116,9 @@
     /// Overwrites one staged piece of an engine with invalid bytes.
     void corruptStagedPiece(std::uint32_t engine, std::size_t piece);
 
+    /// Puts an engine in slow start; its announcements say so for `duration`.
+    void startSlowStart(std::uint32_t engine, Milliseconds duration);
+
     /// Number of engines in all zones.
     std::uint32_t engineCount() const
     {
--- /dev/null
+++ b/tests/deployment_fixture.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "standin/deployment.h"
+
+#include "gateway.h"
+#include "http_frontend.h"
+#include "loopback.h"
+#include "names.h"
+#include "registry_api.h"
+#include "registry_node.h"
+#include "stager.h"
+#include "standin_protocol.h"
+#include "wire_protocol.h"
+
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <future>
+#include <thread>
+
+namespace egret {
+
+inline constexpr Seconds kStartTimeout{ 15 };
+inline constexpr std::uint32_t kZoneCount = 3;
+
+/// A registry instance behind an HTTP frontend with the platform's registry API.
+struct TestRegistry
+{
+    explicit TestRegistry(const NodeSettings &settings)
+        : node(settings), api(node),
+          frontend(std::make_unique<HttpFrontend>(
+                  node.context(),
+                  HttpFrontendOptions{ .listen = *Endpoint::parse(settings.operatorAddress),
+                                       .bounds = { .maxBodyBytes = 1U << 20U } },
+                  [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
+                      this->api.handle(request, reply);
+                  }))
+    {
+        std::string problem;
+        this->isStarted = this->node.start(problem);
+        std::promise<void> done;
+        asio::post(this->node.context(), [&] {
+            Reason<std::error_code> reason;
+            this->isStarted = this->frontend->start(reason) && this->isStarted;
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+    ~TestRegistry()
+    {
+        std::promise<void> done;
+        asio::post(this->node.context(), [&] {
+            this->frontend.reset();
+            done.set_value();
+        });
+        done.get_future().wait();
+        this->node.stop();
+    }
+    TestRegistry(const TestRegistry &) = delete;
+    TestRegistry &operator=(const TestRegistry &) = delete;
+
+    RegistryNode node;
+    platform::RegistryApi api;
+    std::unique_ptr<HttpFrontend> frontend;
+    bool isStarted{ false };
+};
+
+/// Runs registries, gateways, stagers and the stand-in deployment in one process.
+class DeploymentTest : public testing::Test
+{
+protected:
+    /// Starts everything. Addresses and ports in `options` are replaced by free ones.
+    void startAll(DeploymentOptions options, std::uint32_t gatewayCount)
+    {
+        std::string name = testing::TempDir() + "calm-day-XXXXXX";
+        this->folder = mkdtemp(name.data());
+        const auto port = [] { return freeLoopback("127.0.0.1").port; };
+        options.linkPort = port();
+        options.operatorPort = port();
+        options.clientPort = port();
+        options.upstreamPort = port();
+        options.zoneCount = kZoneCount;
+        this->deployment = std::make_unique<Deployment>(options);
+        ASSERT_TRUE(this->deployment->start());
+        for (std::uint32_t i = 0; i < kZoneCount; ++i) {
+            this->registries.push_back(std::make_unique<TestRegistry>(
+                    this->deployment->registrySettings(i, this->folder + "/" + std::to_string(i))));
+            ASSERT_TRUE(this->registries.back()->isStarted);
+        }
+        std::string problem;
+        for (std::uint32_t i = 0; i < gatewayCount; ++i) {
+            this->gateways.push_back(std::make_unique<Gateway>(this->deployment->gatewaySettings(i),
+                                                               platform::gatewayProtocol()));
+            ASSERT_TRUE(this->gateways.back()->start(problem)) << problem;
+        }
+        for (std::uint32_t i = 0; i < this->deployment->engineCount(); ++i) {
+            this->stagers.push_back(std::make_unique<Stager>(this->deployment->stagerSettings(i),
+                                                             platform::stagerProtocol()));
+            ASSERT_TRUE(this->stagers.back()->start(problem)) << problem;
+        }
+    }
+
+    void TearDown() override
+    {
+        for (const auto &stager : this->stagers)
+            stager->stop();
+        for (const auto &gateway : this->gateways)
+            gateway->stop();
+        this->registries.clear();
+        this->deployment.reset();
+        std::filesystem::remove_all(this->folder);
+    }
+
+    /// Polls `condition` until it is true; returns false after the timeout.
+    static bool waitUntil(Seconds timeout, const std::function<bool()> &condition)
+    {
+        const TimePoint deadline = std::chrono::steady_clock::now() + timeout;
+        while (std::chrono::steady_clock::now() < deadline) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return condition();
+    }
+
+    /// Submits document `number`, whose customer has the API key `key`, repeatedly until
+    /// the registry accepts the document; returns false after kStartTimeout.
+    bool putDocument(std::uint32_t registry, std::uint64_t number, const std::string &key)
+    {
+        return waitUntil(kStartTimeout, [&] {
+            return this->deployment
+                           ->callRegistry(registry, "POST", platform::kReplaceConfigPath,
+                                          platform::configText(this->deployment->plan(number, key)))
+                           .status
+                   == 200;
+        });
+    }
+
+    /// Waits until every engine serves weights version `version`; returns false after
+    /// kStartTimeout.
+    bool waitForVersion(std::uint64_t version)
+    {
+        return waitUntil(kStartTimeout, [&] {
+            for (std::uint32_t i = 0; i < this->deployment->engineCount(); ++i) {
+                if (this->deployment->engineStats(i).loadedVersion != version)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    /// Waits until every gateway serves a stream; returns false after kStartTimeout.
+    bool waitUntilReady()
+    {
+        return waitUntil(kStartTimeout, [&] {
+            for (std::uint32_t i = 0; i < this->gateways.size(); ++i) {
+                const auto answer = this->deployment->sendRequest(
+                        i, kStreamPath, "probe-" + std::to_string(++this->probeCount), "key");
+                if (answer.status != 200)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    std::string folder;
+    std::unique_ptr<Deployment> deployment;
+    std::vector<std::unique_ptr<TestRegistry>> registries;
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    std::vector<std::unique_ptr<Stager>> stagers;
+    int probeCount{ 0 };
+};
+
+} // namespace egret
