Grant permits for requests to upstreams in slow start

Cause: each gateway kept to its own part of the upstream's rate, with a floor of one request a second. 41 gateways may so send 41. A limit that machines share was divided by each of them alone: it holds neither above a count of gateways nor after restarts or in cuts, where the counts differ. The product's own path has the limit at the agent for that reason.

Change: one issuer per upstream grants a permit for each request: the stager beside an engine, the leading registry for a plain service. A restarted issuer waits until its predecessor's permits no longer count. Without an answer there is no permit.

Why it works: only the issuer counts, so no view of who is there matters.

Replaced: UpstreamSelectorTest.EngineInSlowStartGetsOnlyTheSlowStartRate checked the part of one gateway, which no longer exists; the tests of permits check the rate over all gateways.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "registry_node.h"
 #include "request_lifecycle.h"
 #include "retry_budget.h"
+#include "slow_start_permits.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
 #include "view_reader.h"
@@ -66,6 +67,8 @@
 /// that arrives with even less time left counts as a client's retry: the client has already spent
 /// time on an earlier attempt.
 constexpr double kClientTimeoutSpread = 0.15;
+/// Time for which an upstream in slow start is not used after its issuer of permits did not answer.
+constexpr Milliseconds kPermitTimeoutRetryAfter = 300ms;
 constexpr double kBytesPerMegabit = 125000;
 constexpr double kMillisecondsPerSecond = 1000;
 /// Bytes of a streamed answer that may be buffered for a slow client. Above this limit the gateway
@@ -114,8 +117,9 @@
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
 
     // The current attempt.
-    std::uint64_t callId{ 0 }; ///< id of the call to the upstream, 0 when no call is in flight
-    std::string upstream;      ///< id of the chosen upstream
+    std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
+    std::uint64_t permitId{ 0 }; ///< id of the permit request in flight, 0 for none
+    std::string upstream;        ///< id of the chosen upstream
     std::uint64_t chosenVersion{ 0 }; ///< weights version of the upstream at the time of the choice
     HttpHead head;                    ///< status and headers of the upstream's answer
     AnswerMetadata answer;            ///< parsed from `head`
@@ -139,6 +143,7 @@
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
+    std::uint64_t permitsRefused{ 0 }; ///< permit requests that were refused or not answered
 };
 
 std::uint64_t randomSeed()
@@ -264,6 +269,7 @@
         appendMetric("upstreams", this->selector.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
+        appendMetric("slow_start_permits_refused_total", this->counters.permitsRefused);
         const HttpPoolCounters &poolCounters = this->upstreamCalls.counters();
         appendMetric("upstream_connections_opened_total", poolCounters.opened);
         appendMetric("upstream_connections_reused_total", poolCounters.reused);
@@ -297,6 +303,8 @@
             this->viewReader.onView(link, *view);
         else if (const auto *notice = std::get_if<LoadNotice>(&frame.message))
             this->selector.onLoadNotice(*notice, bootNow());
+        else if (const auto *permit = std::get_if<PermitReply>(&frame.message))
+            this->onPermitReply(*permit);
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
             this->onPiece(link, *piece);
         else if (std::holds_alternative<Have>(frame.message))
@@ -555,15 +563,22 @@
         return std::chrono::duration_cast<Milliseconds>(objective * kOverdueObjectiveShare);
     }
 
-    /// Chooses an upstream and sends the request. When no upstream is available or the retry budget
-    /// is empty, applies the lifecycle's decision instead. `isResume`: the attempt continues a
-    /// broken stream, so the upstream must have the weights version of the stream's first part.
+    /// Chooses an upstream and sends the request, or first asks for a permit when the upstream
+    /// needs one. When no upstream is available or the retry budget is empty, applies the
+    /// lifecycle's decision instead. `isResume`: the attempt continues a broken stream, so the
+    /// upstream must have the weights version of the stream's first part.
     void chooseAndSend(const ExchangePtr &exchange, bool isResume = false)
     {
-        const TimePoint now = bootNow();
         if (exchange->lifecycle.attempts() > 0
             && !this->retryBudgetOf(exchange->service->name).take())
             return this->applyDecision(exchange, exchange->lifecycle.onRetryBudgetExhausted());
+        this->chooseWithinBudget(exchange, isResume);
+    }
+
+    /// As `chooseAndSend`, for an attempt that the retry budget has already paid for.
+    void chooseWithinBudget(const ExchangePtr &exchange, bool isResume)
+    {
+        const TimePoint now = bootNow();
         const SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
         const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty()) {
@@ -580,6 +595,16 @@
             return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(
                                                          noUpstreamReasonName(selection.problem)));
         }
+        if (selection.needsPermit)
+            this->requestPermit(exchange, selection, isResume, now);
+        else
+            this->sendChosen(exchange, selection, isResume, now);
+    }
+
+    /// Sends the request to a chosen upstream whose permit, if it needs one, has been granted.
+    void sendChosen(const ExchangePtr &exchange, const Selection &selection, bool isResume,
+                    TimePoint now)
+    {
         logInfo("upstream chosen", { { "request", exchange->metadata.id },
                                      { "attempt", exchange->lifecycle.attempts() + 1 },
                                      { "upstream", selection.upstream },
@@ -588,7 +613,6 @@
                                      { "expectedMs", selection.expectedFirstToken.count() },
                                      { "version", selection.version },
                                      { "slowStartMs", selection.slowStartRemaining.count() },
-                                     { "recentSends", selection.recentSends },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
         if (isResume)
             ++this->counters.resumes;
@@ -597,6 +621,78 @@
         this->send(exchange, selection, now);
     }
 
+    // Permits for upstreams in slow start.
+
+    /// A request that waits for a permit.
+    struct PermitWait
+    {
+        ExchangePtr exchange;
+        Selection selection;
+        bool isResume{ false };
+        TimePoint askedAt;
+    };
+
+    /// Returns the link address of the process that issues the permits of an upstream: the stager
+    /// beside an engine, otherwise the registry that leads the quorum. Empty when no registry is
+    /// known to lead.
+    std::string permitIssuer(const Exchange &exchange, const Selection &selection) const
+    {
+        return exchange.service->engine ? linkEndpointOf(this->settings, selection.endpoint.text())
+                                        : this->viewReader.view().confirmingRegistry();
+    }
+
+    void requestPermit(const ExchangePtr &exchange, const Selection &selection, bool isResume,
+                       TimePoint now)
+    {
+        const std::uint64_t id = ++this->lastPermitId;
+        exchange->permitId = id;
+        this->permitWaits[id] = {
+            .exchange = exchange, .selection = selection, .isResume = isResume, .askedAt = now
+        };
+        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
+        this->hub.send(
+                this->permitIssuer(*exchange, selection), channel,
+                PermitRequest{ .callId = id,
+                               .upstream = selection.upstream,
+                               .requestsPerSecond = exchange->service->coldRequestsPerSecond });
+        this->pool.after(kPermitLifetime, [this, id] {
+            this->onPermitReply({ .callId = id, .retryAfter = kPermitTimeoutRetryAfter });
+        });
+    }
+
+    /// Sends the request that waits for the permit, or chooses another upstream when the permit is
+    /// refused or comes too late.
+    void onPermitReply(const PermitReply &reply)
+    {
+        const auto found = this->permitWaits.find(reply.callId);
+        if (found == this->permitWaits.end())
+            return;
+        const PermitWait wait = std::move(found->second);
+        this->permitWaits.erase(found);
+        wait.exchange->permitId = 0;
+        const TimePoint now = bootNow();
+        // The check also covers a process that was suspended while it waited.
+        if (reply.isGranted && now < wait.askedAt + kPermitLifetime) {
+            this->selector.onPermitAbandoned(wait.selection.upstream);
+            return this->sendChosen(wait.exchange, wait.selection, wait.isResume, now);
+        }
+        ++this->counters.permitsRefused;
+        const Milliseconds retryAfter = reply.isGranted ? 0ms : reply.retryAfter;
+        this->selector.onPermitRefused(wait.selection.upstream, retryAfter, now);
+        this->chooseWithinBudget(wait.exchange, wait.isResume);
+    }
+
+    /// Gives up the wait for a permit, if the exchange waits for one.
+    void abandonPermit(Exchange &exchange)
+    {
+        const auto found = this->permitWaits.find(std::exchange(exchange.permitId, 0));
+        if (found == this->permitWaits.end())
+            return;
+        this->selector.onPermitAbandoned(found->second.selection.upstream);
+        this->permitWaits.erase(found);
+    }
+
     void send(const ExchangePtr &exchange, const Selection &selection, TimePoint now)
     {
         exchange->upstream = selection.upstream;
@@ -829,8 +925,10 @@
     /// the retry budget is empty.
     bool retryElsewhere(const ExchangePtr &exchange, TimePoint now)
     {
-        const Selection selection =
-                this->selector.choose(this->selectionQuery(*exchange, now, false), now);
+        // The failure status in hand must be answered at once, without the wait for a permit.
+        SelectionQuery query = this->selectionQuery(*exchange, now, false);
+        query.mayNeedPermit = false;
+        const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty() || !this->retryBudgetOf(exchange->service->name).take())
             return false;
         logInfo("upstream chosen again", { { "request", exchange->metadata.id },
@@ -906,6 +1004,7 @@
             return;
         exchange->lifecycle.onClientDisconnected();
         ++this->counters.clientDisconnects;
+        this->abandonPermit(*exchange);
         if (exchange->route->kind != RequestKind::once)
             this->cancelAttempt(*exchange);
         this->finishExchange(exchange, 0, "client-gone");
@@ -914,6 +1013,7 @@
     /// Cancels the attempt in flight.
     void cancelAttempt(Exchange &exchange)
     {
+        this->abandonPermit(exchange);
         if (exchange.callId == 0)
             return;
         this->upstreamCalls.cancel(std::exchange(exchange.callId, 0));
@@ -975,6 +1075,8 @@
     std::map<std::string, RetryBudget> retryBudgets;          ///< by service
     std::uint32_t budgetGatewayCount{ 0 }; ///< number of gateways that share the retry budgets
     std::set<ExchangePtr> exchanges;
+    std::map<std::uint64_t, PermitWait> permitWaits; ///< by id of the permit request
+    std::uint64_t lastPermitId{ 0 };
     std::mt19937_64 randomGenerator{ randomSeed() };
     GatewayCounters counters;
     std::map<std::string, LatencyHistogram> firstByteTimes; ///< by service, to the first byte
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -7,6 +7,7 @@
 #include "node_options.h"
 #include "program.h"
 #include "registry.h"
+#include "slow_start_permits.h"
 
 #include <asio/post.hpp>
 
@@ -34,6 +35,11 @@
 constexpr Milliseconds kCallTimeout = 900ms;
 /// Time after the start within which applied entries may come from replaying the log.
 constexpr Milliseconds kLogReplayLimit = 3s;
+/// A leader grants permits only for this time after a majority confirmed its state. A leader that
+/// was cut off stops to grant before its successor begins.
+constexpr Milliseconds kPermitLeaseTime = 600ms;
+/// Retry time of a permit that is refused because this instance is not the issuer.
+constexpr Milliseconds kNotIssuerRetryAfter = 300ms;
 // Reasons in a `ControlResult`.
 constexpr const char *kNotLeader = "not-leader";
 constexpr const char *kUnavailable = "unavailable";
@@ -169,6 +175,7 @@
         appendMetric("readers", this->readers.size());
         appendMetric("pending_calls", this->pendingCalls.size());
         appendMetric("operator_state_index", this->appliedState->index);
+        appendMetric("slow_start_permits_total", this->permitCount);
         appendMetric("leads", this->node.leadingTerm() ? 1 : 0);
         return text;
     }
@@ -188,6 +195,8 @@
             this->onControlRequest(link, *request);
         else if (const auto *reply = std::get_if<ControlReply>(&frame.message))
             this->finishCall(reply->callId, reply->result);
+        else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
+            this->onPermitRequest(link, *permit);
         else
             this->onQuorumFrame(frame);
     }
@@ -337,11 +346,16 @@
     /// member, marks the state as unconfirmed.
     void confirm()
     {
-        if (!this->node.leadingTerm()) {
+        const TimePoint requestedAt = bootNow();
+        const auto term = this->node.leadingTerm();
+        if (term != std::exchange(this->permitTerm, term)) {
+            this->issuesPermitsSince = requestedAt;
+            this->permits.clear();
+        }
+        if (!term) {
             this->confirmedAt.reset();
             return;
         }
-        const TimePoint requestedAt = bootNow();
         this->node.propose(ReadNumberedText{ .name = kDocumentText },
                            [this, requestedAt](const ControlResult &result) {
                                this->post([this, requestedAt, reason = result.reason] {
@@ -360,6 +374,28 @@
         this->confirmedAt = requestedAt;
     }
 
+    // Permits for upstreams in slow start that have no stager.
+
+    void onPermitRequest(const LinkPtr &link, const PermitRequest &request)
+    {
+        const TimePoint now = bootNow();
+        PermitDecision decision{ .retryAfter = kNotIssuerRetryAfter };
+        const bool isIssuer = this->confirmedAt && now < *this->confirmedAt + kPermitLeaseTime;
+        if (isIssuer && request.requestsPerSecond > 0) {
+            std::erase_if(this->permits,
+                          [now](const auto &each) { return each.second.isIdle(now); });
+            // A former leader may have granted permits until the end of its lease.
+            decision = this->permits
+                               .try_emplace(request.upstream,
+                                            this->issuesPermitsSince + kPermitLeaseTime)
+                               .first->second.request(request.requestsPerSecond, now);
+        }
+        this->permitCount += decision.isGranted ? 1 : 0;
+        link->send(PermitReply{ .callId = request.callId,
+                                .isGranted = decision.isGranted,
+                                .retryAfter = decision.retryAfter });
+    }
+
     // Upstreams.
 
     void onUpstreamsChanged()
@@ -473,6 +509,10 @@
     std::map<std::uint64_t, PendingCall> pendingCalls;
     std::uint64_t lastCallId{ 0 };
     std::uint64_t announcementCount{ 0 };
+    std::optional<std::uint64_t> permitTerm; ///< term in which this instance leads, empty for none
+    TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
+    std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
+    std::uint64_t permitCount{ 0 };
 };
 
 RegistryNode::RegistryNode(const NodeSettings &settings) : impl(std::make_shared<Impl>(settings)) {}
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -7,6 +7,7 @@
 #include "node_options.h"
 #include "program.h"
 #include "registry_node.h"
+#include "slow_start_permits.h"
 #include "swarm.h"
 #include "view_reader.h"
 
@@ -154,6 +155,7 @@
         appendMetric("served_bytes_total", this->servedBytes);
         appendMetric("pieces_damaged_total", this->damagedPieceCount);
         appendMetric("load_orders_total", this->loadOrderCount);
+        appendMetric("slow_start_permits_total", this->permitCount);
         return text;
     }
 
@@ -169,6 +171,8 @@
             this->onPieceRequest(link, *request);
         else if (const auto *reply = std::get_if<BlockReply>(&frame.message))
             this->onPiece(link, *reply);
+        else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
+            this->onPermitRequest(link, *permit);
         else if (const auto *holdings = std::get_if<Holdings>(&frame.message))
             this->onHoldings(*holdings);
         else if (const auto *have = std::get_if<Have>(&frame.message)) {
@@ -278,11 +282,26 @@
         if (this->report->version != previousVersion)
             logInfo("engine's weights changed",
                     { { "from", previousVersion }, { "to", this->report->version } });
+        // An engine without weights has run no request since its start.
+        if (this->report->version == 0)
+            this->permits.onUpstreamUnused(bootNow());
         this->staging.onEngineStatus(
                 { .version = this->report->version, .isBusy = this->report->isBusy }, bootNow());
         this->sendLoadNotices();
     }
 
+    /// Grants or refuses a gateway's request to send to the engine, which is in slow start.
+    void onPermitRequest(const LinkPtr &link, const PermitRequest &request)
+    {
+        if (request.requestsPerSecond <= 0)
+            return;
+        const PermitDecision decision = this->permits.request(request.requestsPerSecond, bootNow());
+        this->permitCount += decision.isGranted ? 1 : 0;
+        link->send(PermitReply{ .callId = request.callId,
+                                .isGranted = decision.isGranted,
+                                .retryAfter = decision.retryAfter });
+    }
+
     /// Sends load notices to the gateways that need a notice now. A change of the engine's
     /// usability or weights version is sent at once. A change of the numbers of queued or running
     /// requests is sent when the minimum interval since the last notice to the gateway has passed.
@@ -995,6 +1014,9 @@
     std::uint64_t servedBytes{ 0 };
     std::uint64_t damagedPieceCount{ 0 };
     std::uint64_t loadOrderCount{ 0 };
+
+    SlowStartPermits permits{ bootNow() };
+    std::uint64_t permitCount{ 0 }; ///< permits granted
 };
 
 Stager::Stager(const NodeSettings &settings, StagerProtocol protocol)
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -456,7 +456,9 @@
                              .maxConnections = 200,
                              .coldRequestsPerSecond = this->options.coldRequestsPerSecond,
                              .engine = engine },
-                           { .name = kPlainService, .maxConnections = 100 },
+                           { .name = kPlainService,
+                             .maxConnections = 100,
+                             .coldRequestsPerSecond = this->options.coldRequestsPerSecond },
                            { .name = "weights",
                              .maxConnections = 20,
                              .origin = OriginSpec{ .endpoint = origin } } },
@@ -515,10 +517,14 @@
     this->impl->pool.run([&] { this->impl->engines.at(engine)->stagedPieces[piece] = "rotten"; });
 }
 
-void Deployment::startSlowStart(std::uint32_t engine, Milliseconds duration)
+void Deployment::startSlowStart(Milliseconds duration)
 {
-    this->impl->pool.run(
-            [&] { this->impl->engines.at(engine)->slowStartUntil = bootNow() + duration; });
+    this->impl->pool.run([&] {
+        for (const auto &engine : this->impl->engines)
+            engine->slowStartUntil = bootNow() + duration;
+        for (const auto &service : this->impl->services)
+            service->slowStartUntil = bootNow() + duration;
+    });
 }
 
 } // namespace egret
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -30,7 +30,7 @@
     std::uint32_t pieceCount{ 12 }; ///< pieces of each weights version
     std::uint64_t bytesPerPiece{ 4096 };
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
-    /// Limit in the plan on the request rate to an engine in slow start; 0: no limit.
+    /// Limit in the plan on the request rate to an upstream in slow start; 0: no limit.
     double coldRequestsPerSecond{ 0 };
 };
 
@@ -116,8 +116,8 @@
     /// Overwrites one staged piece of an engine with invalid bytes.
     void corruptStagedPiece(std::uint32_t engine, std::size_t piece);
 
-    /// Puts an engine in slow start; its announcements say so for `duration`.
-    void startSlowStart(std::uint32_t engine, Milliseconds duration);
+    /// Puts all engines and services in slow start; their announcements say so for `duration`.
+    void startSlowStart(Milliseconds duration);
 
     /// Number of engines in all zones.
     std::uint32_t engineCount() const
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -17,8 +17,7 @@
 /// assumed to send a request to the same upstream, because all gateways have the same load
 /// notice.
 constexpr double kSameUpstreamGatewayShare = 0.75;
-/// Age up to which a sent request counts as recent. One second, because the limit of slow start
-/// is a rate per second.
+/// Age up to which sent requests are remembered, to add to the load those that a notice lacks.
 constexpr Milliseconds kRecentWindow = 1s;
 /// Margin for errors of the predicted time to the first token, applied when the weights of an
 /// engine are about to expire.
@@ -58,6 +57,8 @@
         return "no-upstream";
     case NoUpstreamReason::busy:
         return "busy";
+    case NoUpstreamReason::slowStart:
+        return "slow-start";
     case NoUpstreamReason::failing:
         return "failing";
     }
@@ -120,11 +121,12 @@
 Selection UpstreamSelector::choose(const SelectionQuery &query, TimePoint now)
 {
     // Step 1. Collect the upstreams that may accept the request, separately those that are
-    // ejected, in cooldown or at their slow-start limit.
+    // ejected or in cooldown.
     const std::uint64_t requiredVersion = this->requiredVersion(query, now);
     std::vector<Candidate> candidates;
     std::vector<Candidate> lastResort;
     Selection selection{ .problem = NoUpstreamReason::unknown, .retryAfter = kMaxRetryAfter };
+    std::optional<TimePoint> nextPermitAt;
     for (auto &[id, upstream] : this->upstreams) {
         if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
             || !this->servesVersion(upstream, query, requiredVersion, now))
@@ -138,21 +140,28 @@
                                              : this->scorePlain(id, upstream, query, now);
         if (isEngine && !this->startsBeforeDeadline(candidate, query, now))
             continue;
-        const bool isLastResort = this->outlierDetector.isEjected(id, now)
-                                  || now < upstream.refusedUntil
-                                  || this->isSlowStartLimitReached(upstream, query, now);
+        const bool needsPermit = UpstreamSelector::needsPermit(upstream, query, now);
+        if (needsPermit && (!query.mayNeedPermit || now < upstream.permitRefusedUntil)) {
+            nextPermitAt =
+                    std::min(nextPermitAt.value_or(TimePoint::max()), upstream.permitRefusedUntil);
+            continue;
+        }
+        const bool isLastResort =
+                this->outlierDetector.isEjected(id, now) || now < upstream.refusedUntil;
         (isLastResort ? lastResort : candidates).push_back(candidate);
     }
     // Step 2. If no candidate is left and the request may run twice, use the upstreams that are
-    // ejected or in cooldown, except those at their slow-start limit.
-    if (candidates.empty() && query.mayRunTwice) {
-        std::erase_if(lastResort, [&](const Candidate &each) {
-            return this->isSlowStartLimitReached(*each.upstream, query, now);
-        });
+    // ejected or in cooldown.
+    if (candidates.empty() && query.mayRunTwice)
         candidates = lastResort;
-    }
-    if (candidates.empty())
+    if (candidates.empty()) {
+        if (nextPermitAt) {
+            selection.problem = NoUpstreamReason::slowStart;
+            selection.retryAfter = std::clamp(std::chrono::ceil<Milliseconds>(*nextPermitAt - now),
+                                              kMinRetryAfter, kMaxRetryAfter);
+        }
         return selection;
+    }
     // Step 3. Refuse the request when no candidate can return the first token in time.
     const auto lowestFirstToken =
             std::ranges::min(candidates, {}, &Candidate::expectedFirstToken).expectedFirstToken;
@@ -193,7 +202,7 @@
                              : 0ms,
         .slowStartRemaining =
                 std::max(0ms, std::chrono::ceil<Milliseconds>(upstream.slowStartUntil - now)),
-        .recentSends = this->recentSends(upstream, now)
+        .needsPermit = UpstreamSelector::needsPermit(upstream, query, now)
     };
     return selection;
 }
@@ -262,25 +271,12 @@
            && (query.exactVersion == 0 || version == query.exactVersion);
 }
 
-/// True when this gateway has sent an upstream in slow start as many requests within
-/// `kRecentWindow` as this gateway's share of the slow-start rate allows.
-bool UpstreamSelector::isSlowStartLimitReached(Upstream &upstream, const SelectionQuery &query,
-                                               TimePoint now) const
+/// True while an upstream is in slow start and its service limits the request rate then.
+bool UpstreamSelector::needsPermit(const Upstream &upstream, const SelectionQuery &query,
+                                   TimePoint now)
 {
-    if (now >= upstream.slowStartUntil || query.plan == nullptr
-        || query.plan->coldRequestsPerSecond <= 0)
-        return false;
-    const double gatewayShare = query.plan->coldRequestsPerSecond / this->gatewayCount;
-    return this->recentSends(upstream, now) >= std::max(1.0, gatewayShare);
-}
-
-/// Number of requests that this gateway sent to an upstream within `kRecentWindow`.
-std::uint32_t UpstreamSelector::recentSends(const Upstream &upstream, TimePoint now) const
-{
-    return static_cast<std::uint32_t>(
-            std::ranges::count_if(upstream.recentRequests, [now](const SentRequest &each) {
-                return each.sentAt > now - kRecentWindow;
-            }));
+    return now < upstream.slowStartUntil && query.plan != nullptr
+           && query.plan->coldRequestsPerSecond > 0;
 }
 
 UpstreamSelector::Candidate UpstreamSelector::scoreEngine(const std::string &id, Upstream &upstream,
@@ -365,6 +361,27 @@
         found->second.recentRequests.pop_front();
 }
 
+void UpstreamSelector::onPermitRefused(const std::string &upstream, Milliseconds retryAfter,
+                                       TimePoint now)
+{
+    this->onPermitAbandoned(upstream);
+    const auto found = this->upstreams.find(upstream);
+    if (found != this->upstreams.end())
+        found->second.permitRefusedUntil = now + retryAfter;
+}
+
+void UpstreamSelector::onPermitAbandoned(const std::string &upstream)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end())
+        return;
+    if (found->second.inFlight > 0)
+        --found->second.inFlight;
+    // Which of the recent requests was not sent makes no difference to the estimated load.
+    if (!found->second.recentRequests.empty())
+        found->second.recentRequests.pop_back();
+}
+
 void UpstreamSelector::onEnded(const std::string &upstream, bool failed, TimePoint now)
 {
     if (failed)
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -58,14 +58,17 @@
     /// The request may be executed more than once. If false, the request is never sent to an
     /// upstream that is ejected or in cooldown, not even as a last resort.
     bool mayRunTwice{ true };
+    /// An upstream in slow start may be selected, although a permit is needed to send there.
+    bool mayNeedPermit{ true };
 };
 
 /// Why no upstream is selected.
 enum class NoUpstreamReason : std::uint8_t {
     none,
-    unknown, ///< no known upstream of the service is allowed for the request
-    busy,    ///< no upstream can return the first token within the limit
-    failing, ///< no allowed upstream can be tried now, see `UpstreamSelector::choose`
+    unknown,   ///< no known upstream of the service is allowed for the request
+    busy,      ///< no upstream can return the first token within the limit
+    slowStart, ///< all other upstreams are unavailable, and no permit can be had now
+    failing,   ///< no allowed upstream can be tried now, see `UpstreamSelector::choose`
 };
 
 /// Name of a reason in log fields and error responses.
@@ -83,8 +86,9 @@
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
-    /// Requests that this gateway sent to the upstream within the last second, before this one.
-    std::uint32_t recentSends{ 0 };
+    /// The upstream is in slow start with a limited request rate: the request may be sent only with
+    /// a permit of the upstream's issuer, see `SlowStartPermits`.
+    bool needsPermit{ false };
     NoUpstreamReason problem{ NoUpstreamReason::none }; ///< why no upstream is selected
     /// Delay after which the client may retry, when no upstream is selected.
     Milliseconds retryAfter{ 0 };
@@ -121,12 +125,20 @@
 
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
-    /// before the request starts, or while the upstream is at its slow-start limit. An upstream
-    /// that is ejected, or in cooldown after a refusal, is tried only as a last resort, and only
-    /// for a request that may run twice.
+    /// before the request starts, or, in slow start, until the retry time of a refused permit. An
+    /// upstream that is ejected, or in cooldown after a refusal, is tried only as a last resort,
+    /// and only for a request that may run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
 
-    /// A request was sent to an upstream. `promptTokens`: length of the prompt.
+    /// A permit for the upstream was refused, or no answer came. The request counts as in flight
+    /// since `onSent` and does so no longer.
+    void onPermitRefused(const std::string &upstream, Milliseconds retryAfter, TimePoint now);
+
+    /// A request that waits for a permit was given up; it counts as in flight no longer.
+    void onPermitAbandoned(const std::string &upstream);
+
+    /// A request was sent to an upstream, or a permit to send it was asked for. `promptTokens`:
+    /// length of the prompt.
     void onSent(const std::string &upstream, double promptTokens, TimePoint now);
 
     /// A sent request ended without a refusal. `failed`: the upstream caused a failure.
@@ -157,6 +169,7 @@
         std::uint32_t inFlight{ 0 }; ///< requests of this gateway in flight at the upstream
         std::deque<SentRequest> recentRequests; ///< requests of this gateway within `kRecentWindow`
         TimePoint refusedUntil;                 ///< end of the cooldown after a refusal
+        TimePoint permitRefusedUntil;           ///< no permit is asked for before this time
     };
     struct Candidate
     {
@@ -172,9 +185,7 @@
     bool startsBeforeDeadline(const Candidate &candidate, const SelectionQuery &query,
                               TimePoint now) const;
     std::uint64_t reportedVersion(const Upstream &upstream, TimePoint now) const;
-    bool isSlowStartLimitReached(Upstream &upstream, const SelectionQuery &query,
-                                 TimePoint now) const;
-    std::uint32_t recentSends(const Upstream &upstream, TimePoint now) const;
+    static bool needsPermit(const Upstream &upstream, const SelectionQuery &query, TimePoint now);
     std::uint64_t requiredVersion(const SelectionQuery &query, TimePoint now) const;
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
--- a/src/view_state.cpp
+++ b/src/view_state.cpp
@@ -48,6 +48,8 @@
         changes.state = this->storeInForceTime(text, now) || isNew || changes.state;
         changes.document = changes.document || (isNew && text.name == kDocumentName);
     }
+    if (view.isConfirmed)
+        this->lastConfirmingRegistry = registry;
     for (const UpstreamRecord &record : view.upstreams) {
         if (this->records.apply(record))
             changes.upstreams.push_back(record.id);
--- a/src/view_state.h
+++ b/src/view_state.h
@@ -78,6 +78,10 @@
     /// reported by a registry instance, at least 1.
     std::uint32_t gatewayCount() const;
 
+    /// Link address of the registry instance that last confirmed the operators' state, which leads
+    /// the quorum; empty for none.
+    const std::string &confirmingRegistry() const { return this->lastConfirmingRegistry; }
+
     /// Link addresses of registry instances, as listed in views.
     const std::set<std::string> &registries() const { return this->registryEndpoints; }
 
@@ -104,6 +108,7 @@
     std::map<std::string, TimePoint> inForceSinceByName;
     std::uint64_t highestDocumentNumber{ 0 };
     std::optional<TimePoint> leaseEnd; ///< empty: no lease was granted yet
+    std::string lastConfirmingRegistry;
 };
 
 } // namespace egret
--- a/tests/slow_start_fleet_test.cpp
+++ b/tests/slow_start_fleet_test.cpp
@@ -29,33 +29,50 @@
     void SetUp() override
     {
         this->startAll({ .coldRequestsPerSecond = kColdRequestsPerSecond }, kGatewayCount);
+        ASSERT_TRUE(this->putDocument(0, 4, "key"));
+        ASSERT_TRUE(this->waitForVersion(1));
+        ASSERT_TRUE(this->waitUntilReady());
+        this->deployment->startSlowStart(60s);
+        // Announcements are sent every 200 ms.
+        std::this_thread::sleep_for(1s);
+        this->loadBegan = bootNow();
     }
 
-    /// Sends streams to every gateway for `duration` from one client per gateway, which pauses
-    /// `pause` between two requests. Returns the number of complete answers.
-    int sendStreams(Milliseconds duration, Milliseconds pause)
+    /// Sends requests to every gateway for `duration` from one client per gateway, which pauses
+    /// for 100 ms between two requests. Returns the numbers of answers by status.
+    std::map<int, int> sendRequests(const std::string &path, Milliseconds duration)
     {
         const TimePoint end = std::chrono::steady_clock::now() + duration;
-        std::vector<std::future<int>> clients;
+        std::vector<std::future<std::map<int, int>>> clients;
         for (std::uint32_t gateway = 0; gateway < kGatewayCount; ++gateway) {
-            clients.push_back(std::async(std::launch::async, [this, gateway, end, pause] {
-                int completeCount = 0;
+            clients.push_back(std::async(std::launch::async, [this, path, gateway, end] {
+                std::map<int, int> answers;
                 for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
                     const std::string id = std::to_string(gateway) + "-" + std::to_string(i);
-                    const auto answer =
-                            this->deployment->sendRequest(gateway, kStreamPath, id, "key");
-                    completeCount += answer.status == 200 && answer.isComplete ? 1 : 0;
-                    EXPECT_TRUE(answer.status == 200 || answer.status == 503) << answer.status;
-                    std::this_thread::sleep_for(pause);
+                    const auto answer = this->deployment->sendRequest(gateway, path, id, "key");
+                    ++answers[answer.isComplete ? answer.status : 0];
+                    std::this_thread::sleep_for(100ms);
                 }
-                return completeCount;
+                return answers;
             }));
         }
-        int completeCount = 0;
-        for (auto &client : clients)
-            completeCount += client.get();
-        return completeCount;
+        std::map<int, int> answers;
+        for (auto &client : clients) {
+            for (const auto &[status, count] : client.get())
+                answers[status] += count;
+        }
+        return answers;
+    }
+
+    /// Checks the peak of the arrivals since the begin of the load.
+    void expectKeepsToRate(const UpstreamStats &stats) const
+    {
+        std::vector<TimePoint> arrivals = stats.arrivals;
+        std::erase_if(arrivals, [this](TimePoint at) { return at < this->loadBegan; });
+        EXPECT_LE(peakPerSecond(arrivals), kMaxRequestsInASecond);
     }
+
+    TimePoint loadBegan;
 };
 
 } // namespace
@@ -63,20 +80,49 @@
 // Guards against a limit per gateway: each gateway alone keeps to it, all together exceed it.
 TEST_F(SlowStartFleet, ManyGatewaysTogetherKeepToTheSlowStartRate)
 {
-    ASSERT_TRUE(this->putDocument(0, 4, "key"));
-    ASSERT_TRUE(this->waitForVersion(1));
-    ASSERT_TRUE(this->waitUntilReady());
+    auto answers = this->sendRequests(kStreamPath, 4s);
     for (std::uint32_t engine = 0; engine < this->deployment->engineCount(); ++engine)
-        this->deployment->startSlowStart(engine, 20s);
-    // Announcements are sent every 200 ms.
-    std::this_thread::sleep_for(1s);
-    const TimePoint loadBegan = bootNow();
-    const int completeCount = this->sendStreams(4s, 100ms);
-    for (std::uint32_t engine = 0; engine < this->deployment->engineCount(); ++engine) {
-        std::vector<TimePoint> arrivals = this->deployment->engineStats(engine).arrivals;
-        std::erase_if(arrivals, [loadBegan](TimePoint at) { return at < loadBegan; });
-        EXPECT_LE(peakPerSecond(arrivals), kMaxRequestsInASecond) << "engine " << engine;
-    }
+        this->expectKeepsToRate(this->deployment->engineStats(engine));
     // The engines are used at their slow-start rate, less a fifth for the requests in between.
-    EXPECT_GE(completeCount, 0.8 * 4 * kColdRequestsPerSecond * this->deployment->engineCount());
+    EXPECT_GE(answers[200], 0.8 * 4 * kColdRequestsPerSecond * this->deployment->engineCount());
+    answers.erase(200);
+    answers.erase(503);
+    EXPECT_TRUE(answers.empty());
+}
+
+TEST_F(SlowStartFleet, ManyGatewaysKeepToTheSlowStartRateOfPlainServices)
+{
+    auto answers = this->sendRequests(kActionPath, 4s);
+    for (std::uint32_t service = 0; service < kZoneCount; ++service)
+        this->expectKeepsToRate(this->deployment->serviceStats(service));
+    EXPECT_GE(answers[200], 0.8 * 4 * kColdRequestsPerSecond * kZoneCount);
+    answers.erase(200);
+    answers.erase(503);
+    EXPECT_TRUE(answers.empty());
+}
+
+// Guards against processes that forget, on a restart, what was sent within the last second.
+TEST_F(SlowStartFleet, RestartedGatewaysAndStagersKeepToTheSlowStartRate)
+{
+    auto load =
+            std::async(std::launch::async, [this] { return this->sendRequests(kStreamPath, 5s); });
+    std::string problem;
+    for (std::uint32_t i = 0; i < kGatewayCount; i += 2) {
+        std::this_thread::sleep_for(150ms);
+        this->gateways[i]->stop();
+        this->gateways[i] = std::make_unique<Gateway>(this->deployment->gatewaySettings(i),
+                                                      platform::gatewayProtocol());
+        ASSERT_TRUE(this->gateways[i]->start(problem)) << problem;
+        if (i % 8 != 0)
+            continue;
+        const std::uint32_t engine = i / 8;
+        this->stagers[engine]->stop();
+        this->stagers[engine] = std::make_unique<Stager>(this->deployment->stagerSettings(engine),
+                                                         platform::stagerProtocol());
+        ASSERT_TRUE(this->stagers[engine]->start(problem)) << problem;
+    }
+    auto answers = load.get();
+    EXPECT_GT(answers[200], 0);
+    for (std::uint32_t engine = 0; engine < this->deployment->engineCount(); ++engine)
+        this->expectKeepsToRate(this->deployment->engineStats(engine));
 }
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -199,24 +199,38 @@
     EXPECT_EQ(this->selector.choose(this->query(), kStart).problem, NoUpstreamReason::unknown);
 }
 
-TEST_F(UpstreamSelectorTest, EngineInSlowStartGetsOnlyTheSlowStartRate)
+TEST_F(UpstreamSelectorTest, EngineInSlowStartIsNeverSelectedWithoutAPermit)
 {
     UpstreamRecord cold = this->record(1);
     cold.coldFor = 3s;
     this->selector.onRecord(cold, kStart);
-    this->selector.setGatewayCount(8);
     SelectionQuery query = this->query();
-    query.firstTokenLimit.reset();
-    int sent = 0;
-    for (; sent < 50; ++sent) {
-        const Selection selection = this->selector.choose(query, kStart + 1ms);
-        if (selection.upstream.empty())
-            break;
-        this->selector.onSent(selection.upstream, 10, kStart + 1ms);
-    }
-    // Slow start allows 36 requests per second from all eight gateways together, so the share of
-    // this gateway is 4.5 requests in one second.
-    EXPECT_EQ(sent, 5);
+    EXPECT_TRUE(this->selector.choose(query, kStart + 1ms).needsPermit);
+    EXPECT_TRUE(this->selector.choose(query, kStart + 2999ms).needsPermit);
+    EXPECT_FALSE(this->selector.choose(query, kStart + 3s).needsPermit);
+    query.mayNeedPermit = false;
+    const Selection selection = this->selector.choose(query, kStart + 1ms);
+    EXPECT_EQ(selection.upstream, "");
+    EXPECT_EQ(selection.problem, NoUpstreamReason::slowStart);
+}
+
+TEST_F(UpstreamSelectorTest, RefusedPermitKeepsRequestsAwayUntilItsRetryTime)
+{
+    UpstreamRecord cold = this->record(1);
+    cold.coldFor = 3s;
+    this->selector.onRecord(cold, kStart);
+    this->selector.onSent("e1", 979, kStart);
+    this->selector.onPermitRefused("e1", 200ms, kStart);
+    const Selection refused = this->selector.choose(this->query(), kStart + 50ms);
+    EXPECT_EQ(refused.upstream, "");
+    EXPECT_EQ(refused.problem, NoUpstreamReason::slowStart);
+    EXPECT_EQ(refused.retryAfter, 150ms);
+    const Selection selection = this->selector.choose(this->query(), kStart + 200ms);
+    EXPECT_EQ(selection.upstream, "e1");
+    EXPECT_EQ(selection.load, 0) << "the request without a permit was not sent";
+    // Another engine takes the request meanwhile.
+    this->selector.onRecord(this->record(2), kStart);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 50ms).upstream, "e2");
 }
 
 TEST_F(UpstreamSelectorTest, EjectedUpstreamIsUsedOnlyAsALastResort)
