Stop the stand-in deployment's thread before its members are destroyed

Seen: a process test ended with a segmentation fault at its teardown, once by hand and once in 17 loops (core dump: HttpPool::start on a null pool, from the periodic announcements).

Cause: the destructor reset the pool of calls on the worker and then stopped the worker; an announcement due in between used the reset pool.

Change: the worker is stopped first; the members go after its thread has ended. Only the stand-in is concerned, no program of the product.

No functional change.

--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -70,14 +70,8 @@
         : options(options), pool(1), httpPool(std::make_unique<HttpPool>(this->pool.context()))
     {}
 
-    ~Impl()
-    {
-        this->pool.run([this] {
-            this->frontends.clear();
-            this->httpPool.reset();
-        });
-        this->pool.stop();
-    }
+    // The periodic tasks use the members below, so no task may run once they are destroyed.
+    ~Impl() { this->pool.stop(); }
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
 
