Leave no idle connection at the origin of weights

Cause: every stager fetches the manifest, and the connection stayed open for four more seconds. The origin accepts 48 connections from all stagers together; with 99 stagers the first 48 kept the others out. The same class as the slow-start rate: a limit that machines share, which each spends alone.

Change: the connection of a manifest is closed after the answer, and those of pieces when the weights are staged. The calls' options became a struct, as a fourth parameter came.

Why it works: a connection counts only while bytes are due.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -277,8 +277,9 @@
     bool finish(bool hasSurplus)
     {
         const auto onEnd = std::move(this->call.onEnd);
-        const bool canReuse = this->reader.head().keepsAlive && this->requestWritten && !hasSurplus
-                              && !this->reachedEof && !this->hasSkippedResponse;
+        const bool canReuse = this->call.keepsConnection && this->reader.head().keepsAlive
+                              && this->requestWritten && !hasSurplus && !this->reachedEof
+                              && !this->hasSkippedResponse;
         if (hasSurplus)
             ++this->poolState.counters.surplus;
         this->idleTimeLimit = reuseTimeLimit(this->reader.head().headers);
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -42,6 +42,9 @@
     /// ends as `unsent`.
     std::size_t maxConnections{ 64 };
     Milliseconds connectTimeout{ 1s }; ///< limit on connecting; then the call ends as `unsent`
+    /// Keep the connection for later calls after the response. False for servers whose connections
+    /// are too few for all their callers.
+    bool keepsConnection{ true };
     /// Returns false when the head belongs to a late response to another request; the pool
     /// skips that response. When empty, every response matches.
     std::function<bool(const HttpHead &)> matchesRequest;
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -361,6 +361,7 @@
                 logInfo("weights staged", { { "version", this->staging.target() },
                                             { "originBytes", this->originBytes },
                                             { "peerBytes", this->peerBytes } });
+                this->httpCalls.closeIdleConnections(this->origin->endpoint);
                 this->staging.onCollected(now);
             }
             return;
@@ -395,7 +396,7 @@
     void fetchManifest()
     {
         const std::uint64_t version = this->staging.target();
-        this->callOrigin(this->protocol.manifestTarget(this->engineSpec->model, version),
+        this->callOrigin(this->protocol.manifestTarget(this->engineSpec->model, version), false,
                          [this, version](const CallResult &result) {
                              if (version != this->staging.target())
                                  return;
@@ -716,7 +717,7 @@
         const std::string version = this->weightsVersionName();
         this->callOrigin(
                 this->protocol.pieceTarget(this->engineSpec->model, this->staging.target(), piece),
-                [this, piece, version](const CallResult &result) {
+                true, [this, piece, version](const CallResult &result) {
                     this->originBytes += result.body.size();
                     if (this->isCurrent(version))
                         this->stagePiece(piece, result.isSuccess() ? result.body : "",
@@ -899,24 +900,40 @@
 
     void callEngine(const HttpCall &call, Milliseconds timeout, CallDone done)
     {
-        this->call(this->engineEndpoint, call, timeout, kMaxEngineConnections, std::move(done),
-                   timeout);
+        this->call(this->engineEndpoint, call,
+                   { .timeout = timeout,
+                     .connectTimeout = timeout,
+                     .maxConnections = kMaxEngineConnections },
+                   std::move(done));
     }
 
-    void callOrigin(const std::string &target, CallDone done)
+    /// `keepsConnection`: more calls to the origin follow soon. An idle connection takes the place
+    /// of another stager, as the origin accepts few.
+    void callOrigin(const std::string &target, bool keepsConnection, CallDone done)
     {
-        this->call(this->origin->endpoint, { .method = "GET", .target = target }, kOriginTimeout,
-                   kMaxOriginTransfers, std::move(done), kOriginConnectTimeout);
+        this->call(this->origin->endpoint, { .method = "GET", .target = target },
+                   { .timeout = kOriginTimeout,
+                     .connectTimeout = kOriginConnectTimeout,
+                     .maxConnections = kMaxOriginTransfers,
+                     .keepsConnection = keepsConnection },
+                   std::move(done));
     }
 
+    struct CallOptions
+    {
+        Milliseconds timeout{ 0 };
+        Milliseconds connectTimeout{ 0 };
+        std::uint32_t maxConnections{ 1 }; ///< limit on connections to the server
+        bool keepsConnection{ true };      ///< see `OutboundCall`
+    };
+
     /// Starts an HTTP call and calls `done` once: at the end of the answer, on failure or after
-    /// `timeout`. `maxConnections`: limit on connections to the server.
-    void call(const Endpoint &to, const HttpCall &call, Milliseconds timeout,
-              std::uint32_t maxConnections, CallDone done, Milliseconds connectTimeout)
+    /// the timeout.
+    void call(const Endpoint &to, const HttpCall &call, const CallOptions &options, CallDone done)
     {
         auto pending = std::make_shared<PendingCall>();
         pending->done = std::move(done);
-        pending->deadline = bootNow() + timeout;
+        pending->deadline = bootNow() + options.timeout;
         std::string head =
                 call.method + " " + call.target + " HTTP/1.1\r\nHost: " + to.text() + "\r\n";
         if (call.method != "GET")
@@ -931,8 +948,9 @@
                 .to = to,
                 .head = head + "\r\n",
                 .body = call.body,
-                .maxConnections = maxConnections,
-                .connectTimeout = connectTimeout,
+                .maxConnections = options.maxConnections,
+                .connectTimeout = options.connectTimeout,
+                .keepsConnection = options.keepsConnection,
                 .onHead = [pending](const HttpHead &head) { pending->result.status = head.status; },
                 .onBody = [pending](std::string &&part) { pending->result.body += part; },
                 .onEnd =
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -94,11 +94,14 @@
     };
 
     /// Starts an HTTP server; false when the endpoint can't be bound.
-    bool listen(const Endpoint &endpoint, HttpFrontendHandler handler)
+    bool listen(const Endpoint &endpoint, HttpFrontendHandler handler,
+                std::size_t maxConnections = HttpFrontendOptions{}.maxConnections)
     {
         auto frontend = std::make_unique<HttpFrontend>(
                 this->pool.context(),
-                HttpFrontendOptions{ .listen = endpoint, .bounds = { .maxBodyBytes = 1U << 20U } },
+                HttpFrontendOptions{ .listen = endpoint,
+                                     .maxConnections = maxConnections,
+                                     .bounds = { .maxBodyBytes = 1U << 20U } },
                 std::move(handler));
         Reason<std::error_code> reason;
         const bool isBound = frontend->start(reason);
@@ -348,12 +351,13 @@
             this->impl->services.push_back(makeUpstream(serviceKind, i, kPlainService));
             bindUpstream(serviceKind, i, *this->impl->services.back());
         }
-        areAllBound =
-                this->impl->listen(endpointOf(originKind, 0),
-                                   [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
-                                       this->impl->handleOrigin(request, reply);
-                                   })
-                && areAllBound;
+        areAllBound = this->impl->listen(
+                              endpointOf(originKind, 0),
+                              [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
+                                  this->impl->handleOrigin(request, reply);
+                              },
+                              this->options.originConnections)
+                      && areAllBound;
     });
     this->impl->pool.every(this->options.stepInterval, [impl = this->impl.get()] {
         for (const auto &engine : impl->engines)
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -29,6 +29,7 @@
     std::uint32_t enginesPerZone{ 1 };
     std::uint32_t pieceCount{ 12 }; ///< pieces of each weights version
     std::uint64_t bytesPerPiece{ 4096 };
+    std::size_t originConnections{ 1000 }; ///< the origin closes further connections at once
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
     /// Limit in the plan on the request rate to an upstream in slow start; 0: no limit.
     double coldRequestsPerSecond{ 0 };
--- a/tests/deployment_fixture.h
+++ b/tests/deployment_fixture.h
@@ -137,11 +137,10 @@
         });
     }
 
-    /// Waits until every engine serves weights version `version`; returns false after
-    /// kStartTimeout.
-    bool waitForVersion(std::uint64_t version)
+    /// Waits until every engine serves weights version `version`; returns false after `timeout`.
+    bool waitForVersion(std::uint64_t version, Seconds timeout = kStartTimeout)
     {
-        return waitUntil(kStartTimeout, [&] {
+        return waitUntil(timeout, [&] {
             for (std::uint32_t i = 0; i < this->deployment->engineCount(); ++i) {
                 if (this->deployment->engineStats(i).loadedVersion != version)
                     return false;
