Tell gateways when an upstream in slow start turns cold again

Callers would see: an engine that turned cold twice within its slow start gets its full rate while it is cold, and may fall over.

Cause: readers get a record only when a field they act on changed, and of the slow start only whether there is any. An upstream that announces 3 s again after 2 s stayed cold for 1 s in the gateways' eyes. Beside it, outdated announcements restarted the slow start in the registry, and records for other registries did not count the time since their announcement.

Change: the registry keeps the end of each slow start, and an end that moves back by more than 0.2 s is a change. The view passes such a record on.

Evidence: Registry.UpstreamThatTurnsColdAgainDuringSlowStartIsAChange, Registry.OutdatedAnnouncementDoesNotProlongSlowStart, Registry.RecordsForOtherRegistriesCarryTheRemainingSlowStart and ViewState.UpstreamThatTurnsColdAgainDuringSlowStartIsReported failed before.

--- a/src/registry.cpp
+++ b/src/registry.cpp
@@ -4,11 +4,18 @@
 
 namespace egret {
 
+namespace {
+
+/// An announcement whose slow start ends later than known by more than this comes from an upstream
+/// that turned cold again; smaller differences come from the delay of announcements.
+constexpr Milliseconds kSlowStartTolerance = 200ms;
+
+} // namespace
+
 bool Registry::onAnnouncement(const UpstreamRecord &record, TimePoint now)
 {
     this->announcedIds.insert(record.id);
-    const bool isChanged = this->records.apply(record);
-    return this->onUpdate(record.id, isChanged, now);
+    return this->onRecord(record, now);
 }
 
 bool Registry::markDeparted(const std::string &id, std::uint64_t startedAtMs, TimePoint now)
@@ -21,13 +28,26 @@
 bool Registry::onPeerRecords(const std::vector<UpstreamRecord> &records, TimePoint now)
 {
     bool isAnyChanged = false;
-    for (const UpstreamRecord &record : records) {
-        const bool isChanged = this->records.apply(record);
-        isAnyChanged = this->onUpdate(record.id, isChanged, now) || isAnyChanged;
-    }
+    for (const UpstreamRecord &record : records)
+        isAnyChanged = this->onRecord(record, now) || isAnyChanged;
     return isAnyChanged;
 }
 
+bool Registry::onRecord(const UpstreamRecord &record, TimePoint now)
+{
+    const bool isRepeated = this->records.isStored(record);
+    bool isChanged = this->records.apply(record);
+    if (!isRepeated && this->records.isStored(record)) {
+        Entry &entry = this->entries[record.id];
+        const TimePoint slowStartUntil = now + record.coldFor;
+        const bool isColdAgain =
+                record.coldFor > 0ms && slowStartUntil > entry.slowStartUntil + kSlowStartTolerance;
+        isChanged = isChanged || isColdAgain;
+        entry.slowStartUntil = slowStartUntil;
+    }
+    return this->onUpdate(record.id, isChanged, now);
+}
+
 bool Registry::onUpdate(const std::string &id, bool isChanged, TimePoint now)
 {
     Entry &entry = this->entries[id];
@@ -40,16 +60,23 @@
     return true;
 }
 
-std::vector<UpstreamRecord> Registry::takeAnnounced()
+std::vector<UpstreamRecord> Registry::takeAnnounced(TimePoint now)
 {
     std::vector<UpstreamRecord> records;
     for (const std::string &id : std::exchange(this->announcedIds, {})) {
         if (const UpstreamRecord *record = this->records.find(id))
-            records.push_back(*record);
+            records.push_back(agedRecord(*record, this->entries[id], now));
     }
     return records;
 }
 
+UpstreamRecord Registry::agedRecord(const UpstreamRecord &record, const Entry &entry, TimePoint now)
+{
+    UpstreamRecord aged = record;
+    aged.coldFor = std::max(0ms, std::chrono::ceil<Milliseconds>(entry.slowStartUntil - now));
+    return aged;
+}
+
 bool Registry::tick(TimePoint now)
 {
     bool isAnyChanged = false;
@@ -83,9 +110,7 @@
         const UpstreamRecord *record = this->records.find(id);
         if (record == nullptr || entry.changeNumber <= changeNumber)
             continue;
-        changedRecords.push_back(*record);
-        const auto age = std::chrono::duration_cast<Milliseconds>(now - entry.lastUpdateAt);
-        changedRecords.back().coldFor = std::max(0ms, record->coldFor - age);
+        changedRecords.push_back(agedRecord(*record, entry, now));
     }
     return changedRecords;
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -39,8 +39,9 @@
     bool onPeerRecords(const std::vector<UpstreamRecord> &records, TimePoint now);
 
     /// Returns the records of upstreams that announced themselves or their departure since the
-    /// last call, to be sent to the other registry instances.
-    std::vector<UpstreamRecord> takeAnnounced();
+    /// last call, to be sent to the other registry instances. Their `coldFor` is reduced to the
+    /// value at `now`.
+    std::vector<UpstreamRecord> takeAnnounced(TimePoint now);
 
     /// Marks upstreams with overdue announcements as silent and removes the records of departed
     /// upstreams after `departedRetention`; true when any upstream became silent. Readers are not
@@ -62,12 +63,20 @@
     {
         std::uint64_t changeNumber{ 0 }; ///< number of the last change of the record
         TimePoint lastUpdateAt;
+        TimePoint slowStartUntil;
     };
 
+    /// Stores a received record; true when readers must get it.
+    bool onRecord(const UpstreamRecord &record, TimePoint now);
+
     /// Updates the entry of an upstream whose record was received. `isChanged`: the received
     /// record changed the stored one. True when readers must get the record.
     bool onUpdate(const std::string &id, bool isChanged, TimePoint now);
 
+    /// Returns a stored record with the remaining time of its slow start.
+    static UpstreamRecord agedRecord(const UpstreamRecord &record, const Entry &entry,
+                                     TimePoint now);
+
     RegistryOptions options;
     UpstreamRecords records;
     std::map<std::string, Entry> entries; ///< by id of the upstream
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -410,7 +410,7 @@
             if (member != ownLinkEndpoint(this->settings))
                 this->otherRegistries.insert(member);
         }
-        const UpstreamAnnouncements update{ .records = this->registry.takeAnnounced() };
+        const UpstreamAnnouncements update{ .records = this->registry.takeAnnounced(bootNow()) };
         if (update.records.empty())
             return;
         for (const std::string &other : this->otherRegistries)
--- a/src/upstream_records.cpp
+++ b/src/upstream_records.cpp
@@ -82,6 +82,13 @@
     return true;
 }
 
+bool UpstreamRecords::isStored(const UpstreamRecord &record) const
+{
+    const UpstreamRecord *stored = this->find(record.id);
+    return stored != nullptr && stored->startedAtMs == record.startedAtMs
+           && stored->sequence == record.sequence && stored->notice == record.notice;
+}
+
 const UpstreamRecord *UpstreamRecords::find(const std::string &id) const
 {
     const auto found = this->records.find(id);
--- a/src/upstream_records.h
+++ b/src/upstream_records.h
@@ -33,6 +33,10 @@
     /// the value changed.
     bool setSilent(const std::string &id, bool isSilent);
 
+    /// True when `record` is the announcement that is stored for its upstream; false when it was
+    /// ignored as outdated.
+    bool isStored(const UpstreamRecord &record) const;
+
     const UpstreamRecord *find(const std::string &id) const;
     const std::map<std::string, UpstreamRecord> &all() const { return this->records; }
 
--- a/src/view_state.cpp
+++ b/src/view_state.cpp
@@ -51,7 +51,10 @@
     if (view.isConfirmed)
         this->lastConfirmingRegistry = registry;
     for (const UpstreamRecord &record : view.upstreams) {
-        if (this->records.apply(record))
+        const bool isChanged = this->records.apply(record);
+        // The registry sends a record with known fields when the upstream turned cold again.
+        const bool isColdAgain = record.coldFor > 0ms && this->records.isStored(record);
+        if (isChanged || isColdAgain)
             changes.upstreams.push_back(record.id);
     }
     // The lease on the operators' state starts when the registry instance asked the majority of the
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -100,8 +100,8 @@
     EXPECT_TRUE(registry.onAnnouncement(recordOf("j", 1, 1, "10.0.0.2:80"), kStart));
     ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart).size(), 1U);
     EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart).front().id, "j");
-    EXPECT_EQ(registry.takeAnnounced().size(), 2U);
-    EXPECT_TRUE(registry.takeAnnounced().empty());
+    EXPECT_EQ(registry.takeAnnounced(kStart).size(), 2U);
+    EXPECT_TRUE(registry.takeAnnounced(kStart).empty());
 }
 
 TEST(Registry, UpstreamBecomesSilentAndRecovers)
@@ -125,6 +125,44 @@
     EXPECT_EQ(registry.changesSince(0, kStart + 9s).front().coldFor, 0ms);
 }
 
+TEST(Registry, UpstreamThatTurnsColdAgainDuringSlowStartIsAChange)
+{
+    Registry registry;
+    UpstreamRecord cold = recordOf("i", 1, 1);
+    cold.coldFor = 3s;
+    registry.onAnnouncement(cold, kStart);
+    const std::uint64_t seenChangeNumber = registry.change();
+    cold.sequence = 2;
+    cold.coldFor = 1800ms;
+    EXPECT_FALSE(registry.onAnnouncement(cold, kStart + 1200ms));
+    cold.sequence = 3;
+    cold.coldFor = 3s;
+    EXPECT_TRUE(registry.onAnnouncement(cold, kStart + 2s));
+    ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).size(), 1U);
+    EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).front().coldFor, 2s);
+}
+
+TEST(Registry, OutdatedAnnouncementDoesNotProlongSlowStart)
+{
+    Registry registry;
+    UpstreamRecord cold = recordOf("i", 1, 5);
+    cold.coldFor = 3s;
+    registry.onAnnouncement(cold, kStart);
+    UpstreamRecord outdated = recordOf("i", 1, 4);
+    outdated.coldFor = 3s;
+    EXPECT_FALSE(registry.onAnnouncement(outdated, kStart + 2s));
+    EXPECT_EQ(registry.changesSince(0, kStart + 2s).front().coldFor, 1s);
+}
+
+TEST(Registry, RecordsForOtherRegistriesCarryTheRemainingSlowStart)
+{
+    Registry registry;
+    UpstreamRecord cold = recordOf("i", 1, 1);
+    cold.coldFor = 3s;
+    registry.onAnnouncement(cold, kStart);
+    EXPECT_EQ(registry.takeAnnounced(kStart + 500ms).front().coldFor, 2500ms);
+}
+
 TEST(Registry, RemovesDepartedUpstreamsAfterTheRetentionTime)
 {
     Registry registry({ .departedRetention = 60s });
@@ -182,6 +220,23 @@
     EXPECT_EQ(state.makePull("r1", kStart).receiverIncarnation, 2U);
 }
 
+TEST(ViewState, UpstreamThatTurnsColdAgainDuringSlowStartIsReported)
+{
+    ViewState state({ .instance = "g" });
+    UpstreamRecord cold = recordOf("i", 1, 1);
+    cold.coldFor = 3s;
+    EXPECT_EQ(state.apply("r1", { .incarnation = 1, .upstreams = { cold } }, kStart).upstreams,
+              std::vector<std::string>{ "i" });
+    UpstreamRecord again = cold;
+    again.sequence = 3;
+    EXPECT_EQ(
+            state.apply("r1", { .incarnation = 1, .upstreams = { again } }, kStart + 2s).upstreams,
+            std::vector<std::string>{ "i" });
+    // A record that is older than the stored one is not reported.
+    EXPECT_TRUE(state.apply("r2", { .incarnation = 1, .upstreams = { cold } }, kStart + 2s)
+                        .upstreams.empty());
+}
+
 TEST(ViewState, TimeInForceComesFromAnyRegistryThatKnowsIt)
 {
     ViewState state({ .instance = "g" });
