Give a started gateway its part of the retry slack after one window

Callers would see: after gateways restarted, engines get more repeated requests than the budget of all gateways allows, just when they are cold.

Cause: a started gateway began with its whole part of the slack, although its predecessor may just have spent it, and divided by a count of gateways that is 1 until registries answer: then its part is everything.

Change: GatewayRetryBudgets, a machine of its own, holds the budgets; the slack comes one window (10 s) after the start. Before that retries are earned by requests.

Evidence: GatewayRetryBudgets.RestartedGatewaysTogetherKeepToTheSlack: with the slack at the start, as before, 41 gateways make 10,578 retries where 949 are allowed; now they keep to it and still use nine tenths of what requests earn.

Why it works: what a predecessor spent is older than a window by then, and registries have told the count. Left: a gateway that restarts within a cut of over 10 s counts its side only.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "event_stream_merger.h"
+#include "gateway_retry_budgets.h"
 #include "http_frontend.h"
 #include "http_pool.h"
 #include "latency.h"
@@ -12,7 +13,6 @@
 #include "program.h"
 #include "registry_node.h"
 #include "request_lifecycle.h"
-#include "retry_budget.h"
 #include "slow_start_permits.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
@@ -176,6 +176,10 @@
                     .upstreamChanged =
                             [this](const UpstreamRecord &record) { this->onUpstream(record); } }),
           selector(selectorOptions(settings), randomSeed()),
+          retryBudgets({ .ratio = settings.bounds.retryRatio * kRetryRatioShare,
+                         .slack = settings.bounds.retrySlack * kRetrySlackShare,
+                         .window = Seconds(settings.bounds.retryWindow),
+                         .startedAt = bootNow() }),
           pieceRelay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kMillisecondsPerSecond
                                      * kPieceRelayLinkShare }),
           upstreamCalls(this->pool.context()),
@@ -341,6 +345,7 @@
     {
         this->viewReader.tick();
         this->selector.setGatewayCount(this->viewReader.view().gatewayCount());
+        this->retryBudgets.setGatewayCount(this->viewReader.view().gatewayCount());
         this->maintainStagerLinks();
         const bool isConfirmed = this->viewReader.view().isConfirmed(bootNow());
         if (isConfirmed != std::exchange(this->wasStateConfirmed, isConfirmed))
@@ -471,7 +476,7 @@
             if (const auto self = weak.lock())
                 this->onClientGone(self);
         });
-        this->retryBudgetOf(exchange->service->name).onFirstSend();
+        this->retryBudgets.onFirstSend(exchange->service->name, now);
         this->chooseAndSend(exchange);
     }
 
@@ -513,23 +518,6 @@
         reply.send(status, "", "", headers);
     }
 
-    /// Returns the retry budget of a service, with options updated for the current number of
-    /// gateways. Each gateway gets an equal part of the retry slack.
-    RetryBudget &retryBudgetOf(const std::string &service)
-    {
-        const std::uint32_t gatewayCount = this->viewReader.view().gatewayCount();
-        const double slack = this->settings.bounds.retrySlack * kRetrySlackShare / gatewayCount;
-        const RetryBudgetOptions options{ .ratio = this->settings.bounds.retryRatio
-                                                   * kRetryRatioShare,
-                                          .reserve = slack,
-                                          .maxBalance = slack };
-        if (gatewayCount != std::exchange(this->budgetGatewayCount, gatewayCount)) {
-            for (auto &[name, budget] : this->retryBudgets)
-                budget.setOptions(options);
-        }
-        return this->retryBudgets.try_emplace(service, options).first->second;
-    }
-
     SelectionQuery selectionQuery(const Exchange &exchange, TimePoint now, bool isResume)
     {
         SelectionQuery query{ .service = exchange.service->name,
@@ -570,7 +558,7 @@
     void chooseAndSend(const ExchangePtr &exchange, bool isResume = false)
     {
         if (exchange->lifecycle.attempts() > 0
-            && !this->retryBudgetOf(exchange->service->name).take())
+            && !this->retryBudgets.take(exchange->service->name, bootNow()))
             return this->applyDecision(exchange, exchange->lifecycle.onRetryBudgetExhausted());
         this->chooseWithinBudget(exchange, isResume);
     }
@@ -929,7 +917,7 @@
         SelectionQuery query = this->selectionQuery(*exchange, now, false);
         query.mayNeedPermit = false;
         const Selection selection = this->selector.choose(query, now);
-        if (selection.upstream.empty() || !this->retryBudgetOf(exchange->service->name).take())
+        if (selection.upstream.empty() || !this->retryBudgets.take(exchange->service->name, now))
             return false;
         logInfo("upstream chosen again", { { "request", exchange->metadata.id },
                                            { "attempt", exchange->lifecycle.attempts() + 1 },
@@ -1067,13 +1055,12 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
     HttpFrontend frontend;
     PlanIndexPtr plan;
     std::map<std::string, VersionDeadlines> versionDeadlines; ///< by model
-    std::map<std::string, RetryBudget> retryBudgets;          ///< by service
-    std::uint32_t budgetGatewayCount{ 0 }; ///< number of gateways that share the retry budgets
     std::set<ExchangePtr> exchanges;
     std::map<std::uint64_t, PermitWait> permitWaits; ///< by id of the permit request
     std::uint64_t lastPermitId{ 0 };
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -29,6 +29,9 @@
         this->balance = std::min(this->balance, newOptions.maxBalance);
     }
 
+    /// Raises the balance to its maximum.
+    void fill() { this->balance = this->options.maxBalance; }
+
     /// Counts a first attempt.
     void onFirstSend()
     {
