Ask for permits for an engine that restarted before its announcement arrives

Callers would see: an engine that restarts under its old name gets its full rate from all gateways until its announcement has reached them, which may take seconds.

Cause: only the announcement tells of the slow start. The stager's load notice says earlier, within 0.1 s, that the engine has a new start time, and that was not looked at.

Evidence: UpstreamSelectorTest.RestartedEngineNeedsPermitsBeforeItsAnnouncementArrives failed before.

--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -271,11 +271,14 @@
            && (query.exactVersion == 0 || version == query.exactVersion);
 }
 
-/// True while an upstream is in slow start and its service limits the request rate then.
+/// True while an upstream is in slow start and its service limits the request rate then. An engine
+/// that restarted, as its load notice tells, is in slow start until its announcement says more.
 bool UpstreamSelector::needsPermit(const Upstream &upstream, const SelectionQuery &query,
                                    TimePoint now)
 {
-    return now < upstream.slowStartUntil && query.plan != nullptr
+    const bool hasRestarted =
+            upstream.hasNotice && upstream.loadNotice.startedAtMs > upstream.record.startedAtMs;
+    return (hasRestarted || now < upstream.slowStartUntil) && query.plan != nullptr
            && query.plan->coldRequestsPerSecond > 0;
 }
 
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -214,6 +214,25 @@
     EXPECT_EQ(selection.problem, NoUpstreamReason::slowStart);
 }
 
+TEST_F(UpstreamSelectorTest, RestartedEngineNeedsPermitsBeforeItsAnnouncementArrives)
+{
+    this->selector.onRecord(this->record(1), kStart);
+    EXPECT_FALSE(this->selector.choose(this->query(), kStart).needsPermit);
+    LoadNotice notice{ .endpoint = endpointOf(1),
+                       .startedAtMs = this->record(1).startedAtMs + 5000,
+                       .isUsable = true,
+                       .model = "m",
+                       .version = 1,
+                       .slowdownFactor = 1 };
+    this->selector.onLoadNotice(notice, kStart + 1s);
+    EXPECT_TRUE(this->selector.choose(this->query(), kStart + 1s).needsPermit);
+    UpstreamRecord restarted = this->record(1);
+    restarted.startedAtMs = notice.startedAtMs;
+    this->selector.onRecord(restarted, kStart + 2s);
+    this->selector.onLoadNotice(notice, kStart + 2s);
+    EXPECT_FALSE(this->selector.choose(this->query(), kStart + 2s).needsPermit);
+}
+
 TEST_F(UpstreamSelectorTest, RefusedPermitKeepsRequestsAwayUntilItsRetryTime)
 {
     UpstreamRecord cold = this->record(1);
