Keep to an upstream's connection limit with many gateways

Callers would see: connections of requests reset by an upstream that has its fill, and so 502 for actions that can't be repeated.

Cause: each gateway keeps to its part of the limit, with a floor of two connections. 41 gateways may open 82 where 48 are accepted.

Change: the floor is one, and with more gateways than connections none is kept idle.

Evidence: UpstreamSelectorTest.GatewaysTogetherKeepToTheConnectionLimit failed before (82 and 86 of 48). Left: with more gateways than connections the limit holds only as long as fewer requests than connections are in flight; a hard limit would need permits as for slow start.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -707,6 +707,7 @@
             .mayRunTwice = exchange->route->kind != RequestKind::once,
             .maxConnections = selection.maxConnections,
             .connectTimeout = kConnectTimeout,
+            .keepsConnection = selection.keepsConnection,
             .matchesRequest =
                     [this, id = exchange->metadata.id](const HttpHead &head) {
                         const AnswerMetadata metadata = this->protocol.parseAnswerHead(head);
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -194,7 +194,8 @@
         .endpoint = upstream.endpoint,
         .version = this->reportedVersion(upstream, now),
         .maxConnections =
-                connectionLimit > 0 ? std::max(2U, static_cast<std::uint32_t>(gatewayShare)) : 256,
+                connectionLimit > 0 ? std::max(1U, static_cast<std::uint32_t>(gatewayShare)) : 256,
+        .keepsConnection = connectionLimit <= 0 || gatewayShare >= 1,
         .expectedFirstToken = std::chrono::ceil<Milliseconds>(selected.expectedFirstToken),
         .load = selected.load,
         .noticeAge = upstream.hasNotice
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -81,6 +81,9 @@
     Endpoint endpoint;
     std::uint64_t version{ 0 };        ///< version of the weights that the upstream reported
     std::uint32_t maxConnections{ 0 }; ///< connections that this gateway may open to the upstream
+    /// A connection may stay open without a request. False when there are fewer connections than
+    /// gateways.
+    bool keepsConnection{ true };
     Milliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
     double load{ 0 };                     ///< estimated number of requests at the upstream
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -279,6 +279,26 @@
     EXPECT_EQ(this->selectionCounts(this->query()).at("e2"), 200);
 }
 
+// Guards against a floor per gateway that lets many gateways exceed the upstream's limit.
+TEST_F(UpstreamSelectorTest, GatewaysTogetherKeepToTheConnectionLimit)
+{
+    const PlanService plain{ .name = "plain", .maxConnections = 48 };
+    const SelectionQuery query{ .service = "plain", .plan = &plain };
+    UpstreamRecord record = this->record(1);
+    record.service = "plain";
+    this->selector.onRecord(record, kStart);
+    for (const std::uint32_t gatewayCount : { 1U, 8U, 20U, 41U, 43U }) {
+        this->selector.setGatewayCount(gatewayCount);
+        const Selection selection = this->selector.choose(query, kStart);
+        EXPECT_LE(selection.maxConnections * gatewayCount, plain.maxConnections) << gatewayCount;
+        EXPECT_TRUE(selection.keepsConnection);
+    }
+    // With more gateways than connections, a gateway uses one only while it serves a request.
+    this->selector.setGatewayCount(300);
+    EXPECT_EQ(this->selector.choose(query, kStart).maxConnections, 1U);
+    EXPECT_FALSE(this->selector.choose(query, kStart).keepsConnection);
+}
+
 TEST_F(UpstreamSelectorTest, PlainRequestsStayInTheGatewaysZoneUntilItsUpstreamsAreLoaded)
 {
     const PlanService plain{ .name = "plain", .maxConnections = 51 };
