Give each test process of the stand-in deployment its own addresses

Seen: SlowStartFleet.RestartedGatewaysAndStagersKeepToTheSlowStartRate failed once of one run beside other tests: 'Address already in use' at a stager's link address.

Cause: all test processes used the addresses 127.31.x.y and ports that were free at 127.0.0.1, so two processes at the same time may draw the same port.

Change: the second octet comes from the process id.

No functional change.

--- a/tests/deployment_fixture.h
+++ b/tests/deployment_fixture.h
@@ -15,6 +15,8 @@
 #include <asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <future>
 #include <thread>
@@ -76,6 +78,10 @@
         std::string name = testing::TempDir() + "calm-day-XXXXXX";
         this->folder = mkdtemp(name.data());
         const auto port = [] { return freeLoopback("127.0.0.1").port; };
+        // Test processes that run at the same time use different addresses.
+        constexpr int firstPrefix = 32;
+        constexpr int prefixCount = 200;
+        options.addressPrefix = "127." + std::to_string(firstPrefix + ::getpid() % prefixCount);
         options.linkPort = port();
         options.operatorPort = port();
         options.clientPort = port();
