Fetch the manifest of weights from other stagers

Cause: every stager drew the manifest from the origin, which accepts 48 connections and has a thin link. With more stagers than that some got it late, as new connections time out behind the pieces on that link; without it they drop relayed pieces and fetch them one by one later.

Change: ManifestSources decides whom to ask: at most twelve stagers over all zones ask the origin, the others ask stagers of their zone, which answer when they have it, and the origin at every fourth attempt. As a wrong manifest could now spread, digests are checked for their form, and a piece that does not match four times has the manifest fetched again, from the origin only; before, such a stager never got the version.

Evidence: OriginConnections.FewStagersFetchTheManifestFromTheOrigin failed before (42 requests, 16 allowed); WrongManifest.IsFetchedAgainWhenAPieceNeverMatches and ManifestSources.* are new with it.

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -4,6 +4,7 @@
 #include "digest.h"
 #include "http_pool.h"
 #include "log.h"
+#include "manifest_sources.h"
 #include "node_options.h"
 #include "program.h"
 #include "registry_node.h"
@@ -39,6 +40,11 @@
 /// repeated, so the stager uses the origin again soon after the origin's return.
 constexpr Milliseconds kOriginConnectTimeout = 250ms;
 constexpr Milliseconds kCallTimeoutCheckPeriod = 50ms;
+/// Time after which another stager or the origin is asked for the manifest.
+constexpr Milliseconds kManifestReplyTimeout = 300ms;
+/// Number of copies of one piece that don't match its digest, after which the digest is assumed to
+/// be wrong. The origin and peers may send damaged pieces now and then.
+constexpr std::uint32_t kMismatchesOfWrongManifest = 4;
 /// Largest number of concurrent reads of staged pieces from the engine.
 constexpr std::size_t kMaxConcurrentReads = 4;
 /// Weights version to load until the operators put a version in force.
@@ -87,6 +93,14 @@
 
 using CallDone = std::function<void(const CallResult &)>;
 
+/// True when `text` is a SHA-256 digest in lower-case hexadecimal.
+bool isHexDigest(const std::string &text)
+{
+    constexpr std::size_t digestDigits = 64;
+    return text.size() == digestDigits
+           && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 } // namespace
 
 class Stager::Impl : public std::enable_shared_from_this<Stager::Impl>
@@ -173,6 +187,10 @@
             this->onPiece(link, *reply);
         else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
             this->onPermitRequest(link, *permit);
+        else if (const auto *wanted = std::get_if<ManifestRequest>(&frame.message))
+            this->onManifestRequest(link, *wanted);
+        else if (const auto *manifest = std::get_if<ManifestReply>(&frame.message))
+            this->onManifestReply(*manifest);
         else if (const auto *holdings = std::get_if<Holdings>(&frame.message))
             this->onHoldings(*holdings);
         else if (const auto *have = std::get_if<Have>(&frame.message)) {
@@ -188,6 +206,7 @@
     {
         this->viewReader.onDown(link);
         this->noticeReceivers.erase(link);
+        this->manifestWaiters.erase(link);
     }
 
     // The operators' state.
@@ -235,6 +254,9 @@
         this->staging.setTarget(target, isNew, bootNow());
         this->swarm.reset();
         this->digests.clear();
+        this->mismatchesByPiece.clear();
+        this->manifestSources.reset();
+        this->manifestWaiters.clear();
         this->requestedFrom.clear();
     }
 
@@ -394,6 +416,21 @@
     }
 
     void fetchManifest()
+    {
+        const PeerRecord self = this->ownRecord();
+        const auto stager = this->manifestSources.next(this->stagers(), self);
+        if (!stager)
+            return this->fetchManifestFromOrigin();
+        this->hub.send(*stager, Channel::control,
+                       ManifestRequest{ .version = this->weightsVersionName() });
+        const std::uint64_t version = this->staging.target();
+        this->pool.after(kManifestReplyTimeout, [this, version] {
+            if (version == this->staging.target())
+                this->staging.onManifest(false, bootNow());
+        });
+    }
+
+    void fetchManifestFromOrigin()
     {
         const std::uint64_t version = this->staging.target();
         this->callOrigin(this->protocol.manifestTarget(this->engineSpec->model, version), false,
@@ -403,18 +440,70 @@
                              const auto manifest =
                                      result.isSuccess() ? this->protocol.parseManifest(result.body)
                                                         : std::nullopt;
-                             const bool isValid =
-                                     manifest && manifest->version == version
-                                     && manifest->digests.size() == this->engineSpec->chunks;
-                             if (isValid)
-                                 this->digests = manifest->digests;
-                             else
-                                 logWarn("loading manifest failed",
-                                         { { "version", version }, { "status", result.status } });
-                             this->staging.onManifest(isValid, bootNow());
+                             if (manifest && manifest->version == version
+                                 && this->useManifest(manifest->digests))
+                                 return;
+                             logWarn("loading manifest failed",
+                                     { { "version", version }, { "status", result.status } });
+                             this->staging.onManifest(false, bootNow());
                          });
     }
 
+    /// Takes the digests as those of the target version, unless its manifest is known already or
+    /// they can't be right; false in the latter case. Sends the manifest to the stagers that wait.
+    bool useManifest(const std::vector<std::string> &newDigests)
+    {
+        const bool areDigests = std::ranges::all_of(newDigests, isHexDigest);
+        if (newDigests.size() != this->engineSpec->chunks || !areDigests)
+            return false;
+        if (!this->staging.lacksManifest())
+            return true;
+        this->digests = newDigests;
+        this->mismatchesByPiece.clear();
+        for (const LinkPtr &link : std::exchange(this->manifestWaiters, {}))
+            link->send(this->manifestReply());
+        this->staging.onManifest(true, bootNow());
+        return true;
+    }
+
+    ManifestReply manifestReply() const
+    {
+        return { .version = this->weightsVersionName(), .digests = this->digests };
+    }
+
+    /// Answers another stager at once, or as soon as this stager has the manifest.
+    void onManifestRequest(const LinkPtr &link, const ManifestRequest &request)
+    {
+        if (!this->engineSpec || request.version != this->weightsVersionName())
+            return;
+        if (this->digests.empty())
+            this->manifestWaiters.insert(link);
+        else
+            link->send(this->manifestReply());
+    }
+
+    void onManifestReply(const ManifestReply &reply)
+    {
+        if (this->engineSpec && reply.version == this->weightsVersionName()
+            && !this->useManifest(reply.digests))
+            logWarn("manifest of another stager is malformed", { { "version", reply.version } });
+    }
+
+    /// Counts a piece that did not match its digest. A piece that never matches means a wrong
+    /// manifest, which is then fetched again, from the origin only.
+    void onPieceMismatch(std::size_t piece)
+    {
+        if (++this->mismatchesByPiece[piece] < kMismatchesOfWrongManifest)
+            return;
+        logWarn("manifest rejected", { { "version", this->staging.target() }, { "piece", piece } });
+        this->mismatchesByPiece.clear();
+        this->digests.clear();
+        this->swarm.reset();
+        this->requestedFrom.clear();
+        this->manifestSources.reset(true);
+        this->staging.onManifestRejected(bootNow());
+    }
+
     /// Finds the pieces of the target version that are already staged at the engine, and starts to
     /// collect the others.
     void checkHeld()
@@ -451,10 +540,8 @@
         const TimePoint now = bootNow();
         const bool isNewVersion = heldPieces.count() == 0 && this->collectedVersion != 0;
         this->collectedVersion = this->staging.target();
-        const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
-                               .zone = this->settings.zone,
-                               .region = this->settings.region };
-        this->swarm.emplace(stagingSwarmOptions(self, isNewVersion, !this->zoneRelays().empty()));
+        this->swarm.emplace(
+                stagingSwarmOptions(this->ownRecord(), isNewVersion, !this->zoneRelays().empty()));
         this->swarm->setPeers(this->peers(), now);
         this->swarm->start(this->digests.size(), heldPieces, 1, now);
         this->staging.onHeldChecked(heldPieces.full() ? HeldPieces::all : HeldPieces::some, now);
@@ -590,7 +677,15 @@
         bool isUrgent{ false };
     };
 
-    std::vector<PeerRecord> peers() const
+    PeerRecord ownRecord() const
+    {
+        return { .endpoint = ownLinkEndpoint(this->settings),
+                 .zone = this->settings.zone,
+                 .region = this->settings.region };
+    }
+
+    /// Returns the known stagers, including this one once its engine has announced itself.
+    std::vector<PeerRecord> stagers() const
     {
         std::vector<PeerRecord> stagers;
         for (const auto &[id, record] : this->viewReader.view().upstreams().all()) {
@@ -601,10 +696,12 @@
                                 .zone = record.zone,
                                 .region = this->regionOf(record.zone) });
         }
-        const PeerRecord self{ .endpoint = ownLinkEndpoint(this->settings),
-                               .zone = this->settings.zone,
-                               .region = this->settings.region };
-        return selectSwarmPeers(stagers, self);
+        return stagers;
+    }
+
+    std::vector<PeerRecord> peers() const
+    {
+        return selectSwarmPeers(this->stagers(), this->ownRecord());
     }
 
     std::string regionOf(const std::string &zone) const
@@ -775,6 +872,9 @@
         if (!isIntact && !bytes.empty()) {
             ++this->damagedPieceCount;
             logWarn("piece digest mismatch", { { "piece", piece } });
+            this->onPieceMismatch(piece);
+            if (!this->swarm)
+                return;
         }
         if (!isIntact && source == PieceSource::relay)
             return;
@@ -1022,7 +1122,10 @@
     bool isSendingLoadOrder{ false }; ///< a load order is being sent
     LoadNotice lastNotice;
 
-    std::vector<std::string> digests;    ///< SHA-256 of each piece of the target version
+    std::vector<std::string> digests; ///< SHA-256 of each piece of the target version, or empty
+    std::map<std::size_t, std::uint32_t> mismatchesByPiece; ///< with the present `digests`
+    ManifestSources manifestSources;
+    std::set<LinkPtr> manifestWaiters;   ///< stagers that asked for the missing manifest
     std::uint64_t collectedVersion{ 0 }; ///< version that this process began to collect last
     std::optional<Swarm> swarm;
     std::map<std::size_t, std::string> requestedFrom; ///< by piece: peer asked for the piece
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -130,8 +130,18 @@
     this->notBefore = now + this->options.retryDelay;
 }
 
+void Staging::onManifestRejected(TimePoint now)
+{
+    this->phase = Phase::fetchingManifest;
+    this->isRunning = false;
+    this->notBefore = now;
+    this->verifiedAt.reset();
+}
+
 void Staging::onManifest(bool isAccepted, TimePoint now)
 {
+    if (!this->lacksManifest())
+        return;
     this->isRunning = false;
     if (isAccepted)
         this->phase = Phase::checkingHeld;
--- a/src/staging.h
+++ b/src/staging.h
@@ -96,6 +96,12 @@
     /// Ends `fetchManifest`. `isAccepted`: the manifest was received and is valid.
     void onManifest(bool isAccepted, TimePoint now);
 
+    /// The manifest in use is wrong: it is fetched again.
+    void onManifestRejected(TimePoint now);
+
+    /// True while the manifest of the target version is missing.
+    bool lacksManifest() const { return this->phase == Phase::fetchingManifest; }
+
     /// Ends `checkHeld`. Collecting starts unless the engine did not respond.
     void onHeldChecked(HeldPieces held, TimePoint now);
 
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -184,10 +184,13 @@
     {
         const std::uint64_t version = platform::versionInQuery(request.target);
         if (!suffixAfter(request.path, platform::kManifestPath).empty()) {
+            const std::uint32_t earlierRequests = this->manifestRequests[version]++;
             PieceDigests digests{ .version = version };
             for (std::size_t piece = 0; piece < this->options.pieceCount; ++piece)
                 digests.digests.push_back(
                         sha256Of(pieceContent(version, piece, this->options.bytesPerPiece)));
+            if (earlierRequests < this->options.wrongManifests)
+                digests.digests.front() = sha256Of("wrong");
             return reply->send(200, "application/json", platform::manifestBody(kModel, digests),
                                {});
         }
@@ -292,6 +295,7 @@
     std::vector<std::unique_ptr<Upstream>> engines;
     std::vector<std::unique_ptr<Upstream>> services;
     std::uint64_t originBytesSent{ 0 };
+    std::map<std::uint64_t, std::uint32_t> manifestRequests; ///< by weights version
 };
 
 Deployment::Deployment(DeploymentOptions options)
@@ -510,6 +514,13 @@
     return bytes;
 }
 
+std::uint32_t Deployment::manifestRequests(std::uint64_t version)
+{
+    std::uint32_t count = 0;
+    this->impl->pool.run([&] { count = this->impl->manifestRequests[version]; });
+    return count;
+}
+
 void Deployment::corruptStagedPiece(std::uint32_t engine, std::size_t piece)
 {
     this->impl->pool.run([&] { this->impl->engines.at(engine)->stagedPieces[piece] = "rotten"; });
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -30,6 +30,7 @@
     std::uint32_t pieceCount{ 12 }; ///< pieces of each weights version
     std::uint64_t bytesPerPiece{ 4096 };
     std::size_t originConnections{ 1000 }; ///< the origin closes further connections at once
+    std::uint32_t wrongManifests{ 0 };     ///< first manifests that have a wrong digest
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
     /// Limit in the plan on the request rate to an upstream in slow start; 0: no limit.
     double coldRequestsPerSecond{ 0 };
@@ -108,6 +109,9 @@
     /// Bytes of pieces that the origin sent.
     std::uint64_t originBytesSent();
 
+    /// Number of requests for the manifest of a weights version that the origin answered.
+    std::uint32_t manifestRequests(std::uint64_t version);
+
     /// Size of one weights version in bytes.
     std::uint64_t weightsVersionBytes() const
     {
