Choose no cold engine whose issuer of permits can't be reached

Callers would see: a request waits 0.15 s for a permit that can't come, when the stager beside a cold engine is down, before it goes to another engine. Found by reading the change.

Change: without a link to the stager a cold engine is no candidate; a request for a permit that can't be sent counts as refused at once. Beside it, a restarted stager takes its engine for unused only while the engine loads nothing: an engine that loads newer weights has run requests.

Evidence: UpstreamSelectorTest.EngineInSlowStartWithoutALinkToItsStagerIsNotSelected is new.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -639,12 +639,13 @@
         };
         this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
         const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
-        this->hub.send(
-                this->permitIssuer(*exchange, selection), channel,
-                PermitRequest{ .callId = id,
-                               .upstream = selection.upstream,
-                               .requestsPerSecond = exchange->service->coldRequestsPerSecond });
-        this->pool.after(kPermitLifetime, [this, id] {
+        const PermitRequest request{ .callId = id,
+                                     .upstream = selection.upstream,
+                                     .requestsPerSecond =
+                                             exchange->service->coldRequestsPerSecond };
+        const bool isSent =
+                this->hub.send(this->permitIssuer(*exchange, selection), channel, request);
+        this->pool.after(isSent ? kPermitLifetime : 0ms, [this, id] {
             this->onPermitReply({ .callId = id, .retryAfter = kPermitTimeoutRetryAfter });
         });
     }
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -304,8 +304,8 @@
         if (this->report->version != previousVersion)
             logInfo("engine's weights changed",
                     { { "from", previousVersion }, { "to", this->report->version } });
-        // An engine without weights has run no request since its start.
-        if (this->report->version == 0)
+        // An engine that has no weights and loads none has run no request since its start.
+        if (this->report->version == 0 && !this->report->isBusy)
             this->permits.onUpstreamUnused(bootNow());
         this->staging.onEngineStatus(
                 { .version = this->report->version, .isBusy = this->report->isBusy }, bootNow());
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -141,7 +141,9 @@
         if (isEngine && !this->startsBeforeDeadline(candidate, query, now))
             continue;
         const bool needsPermit = UpstreamSelector::needsPermit(upstream, query, now);
-        if (needsPermit && (!query.mayNeedPermit || now < upstream.permitRefusedUntil)) {
+        const bool canAskForPermit =
+                query.mayNeedPermit && upstream.path.hasLink && now >= upstream.permitRefusedUntil;
+        if (needsPermit && !canAskForPermit) {
             nextPermitAt =
                     std::min(nextPermitAt.value_or(TimePoint::max()), upstream.permitRefusedUntil);
             continue;
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -128,9 +128,9 @@
 
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
-    /// before the request starts, or, in slow start, until the retry time of a refused permit. An
-    /// upstream that is ejected, or in cooldown after a refusal, is tried only as a last resort,
-    /// and only for a request that may run twice.
+    /// before the request starts, or, in slow start, without a link to the issuer of permits or
+    /// until the retry time of a refused permit. An upstream that is ejected, or in cooldown after
+    /// a refusal, is tried only as a last resort, and only for a request that may run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
 
     /// A permit for the upstream was refused, or no answer came. The request counts as in flight
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -214,6 +214,16 @@
     EXPECT_EQ(selection.problem, NoUpstreamReason::slowStart);
 }
 
+TEST_F(UpstreamSelectorTest, EngineInSlowStartWithoutALinkToItsStagerIsNotSelected)
+{
+    UpstreamRecord cold = this->record(1);
+    cold.coldFor = 3s;
+    this->selector.onRecord(cold, kStart);
+    this->selector.setPath(endpointOf(1), { .hasLink = false });
+    EXPECT_EQ(this->selector.choose(this->query(), kStart).problem, NoUpstreamReason::slowStart);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 3s).upstream, "e1");
+}
+
 TEST_F(UpstreamSelectorTest, RestartedEngineNeedsPermitsBeforeItsAnnouncementArrives)
 {
     this->selector.onRecord(this->record(1), kStart);
