--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -44,6 +44,7 @@
     std::optional<std::uint64_t> leadingTerm;
     TimePoint leadershipExpiresAt;
     std::vector<std::string> members; ///< link addresses of the quorum's members
+    QuorumStatus status;
 };
 
 Milliseconds wallTime()
@@ -61,6 +62,19 @@
 
 } // namespace
 
+const char *nameOf(QuorumRole role)
+{
+    switch (role) {
+    case QuorumRole::voter:
+        return "voter";
+    case QuorumRole::learner:
+        return "learner";
+    case QuorumRole::outside:
+        break;
+    }
+    return "outside";
+}
+
 class ControlNode::Impl
 {
 public:
@@ -159,6 +173,11 @@
         return this->shared.with([](const PublishedState &published) { return published.members; });
     }
 
+    QuorumStatus quorumStatus()
+    {
+        return this->shared.with([](const PublishedState &published) { return published.status; });
+    }
+
 private:
     /// A command that was appended to the log and is not applied yet.
     struct PendingProposal
@@ -377,8 +396,19 @@
         return ControlResult{ .reason = kNotLeader, .leader = this->quorum->leaderEndpoint() };
     }
 
-    /// Publishes the membership and the leading term to other threads. When this instance does
-    /// not lead, refuses the pending proposals.
+    QuorumStatus currentStatus() const
+    {
+        QuorumStatus status{ .leader = this->quorum->leaderEndpoint() };
+        for (const QuorumMember &each : this->quorum->members().members) {
+            status.voters += each.voter ? 1 : 0;
+            if (each.folder == this->quorum->persistentState().folder)
+                status.role = each.voter ? QuorumRole::voter : QuorumRole::learner;
+        }
+        return status;
+    }
+
+    /// Publishes the membership, the status and the leading term to other threads. When this
+    /// instance does not lead, refuses the pending proposals.
     void publishLeadership()
     {
         const TimePoint now = bootNow();
@@ -387,8 +417,11 @@
         std::vector<std::string> endpoints;
         for (const QuorumMember &each : this->quorum->members().members)
             endpoints.push_back(each.endpoint);
+        const QuorumStatus status = this->currentStatus();
+        bool hasStatusChanged = false;
         const auto previousTerm = this->shared.with([&](PublishedState &published) {
             published.members = std::move(endpoints);
+            hasStatusChanged = std::exchange(published.status, status) != status;
             published.leadershipExpiresAt = expiresAt;
             return std::exchange(published.leadingTerm, term);
         });
@@ -396,6 +429,11 @@
             logInfo(term ? "this instance leads the control quorum"
                          : "this instance stopped leading the control quorum",
                     { { "term", this->quorum->term() } });
+        if (hasStatusChanged)
+            logInfo("control quorum's status changed", { { "role", nameOf(status.role) },
+                                                         { "leader", status.leader },
+                                                         { "voters", status.voters },
+                                                         { "term", this->quorum->term() } });
         if (term)
             return;
         for (auto &[index, refused] : std::exchange(this->pending, {}))
@@ -482,4 +520,9 @@
     return this->impl->memberEndpoints();
 }
 
+QuorumStatus ControlNode::quorumStatus()
+{
+    return this->impl->quorumStatus();
+}
+
 } // namespace egret
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -23,6 +23,22 @@
     std::size_t targetVoters{ 0 };
 };
 
+/// How an instance takes part in the control quorum.
+enum class QuorumRole { outside, learner, voter };
+
+/// Returns the name of a role for log lines.
+const char *nameOf(QuorumRole role);
+
+/// What an instance knows of the control quorum.
+struct QuorumStatus
+{
+    QuorumRole role{ QuorumRole::outside };
+    std::string leader;      ///< link address of the leader; empty when unknown
+    std::size_t voters{ 0 }; ///< number of voters in the latest membership known here
+
+    bool operator==(const QuorumStatus &) const = default;
+};
+
 /// Callbacks of a control node. They are called on the thread of the node, and by
 /// ControlNode::start on the thread of its caller.
 struct ControlNodeHandlers
@@ -80,6 +96,9 @@
     /// Returns the link addresses of the quorum's members as known to this member.
     std::vector<std::string> memberEndpoints();
 
+    /// Returns this instance's role, the leader and the number of voters as known here.
+    QuorumStatus quorumStatus();
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl;
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -66,6 +66,13 @@
     TimePoint resendAt;
 };
 
+/// Returns the number of a text in the operators' state; empty when there is no such text.
+std::optional<std::uint64_t> numberOf(const OperatorState &state, const std::string &textName)
+{
+    const auto found = std::ranges::find(state.texts, textName, &NumberedText::name);
+    return found == state.texts.end() ? std::nullopt : std::optional(found->number);
+}
+
 } // namespace
 
 class RegistryNode::Impl : public std::enable_shared_from_this<RegistryNode::Impl>
@@ -177,9 +184,17 @@
         appendMetric("operator_state_index", this->appliedState->index);
         appendMetric("slow_start_permits_total", this->permitCount);
         appendMetric("leads", this->node.leadingTerm() ? 1 : 0);
+        const QuorumStatus status = this->node.quorumStatus();
+        appendMetric("votes", status.role == QuorumRole::voter ? 1 : 0);
+        appendMetric("voters", status.voters);
+        appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
+        appendMetric("calls_total", this->lastCallId);
+        appendMetric("calls_unavailable_total", this->unavailableCallCount);
         return text;
     }
 
+    QuorumStatus quorumStatus() { return this->node.quorumStatus(); }
+
     WorkerPool &workers() { return this->pool; }
 
 private:
@@ -319,11 +334,17 @@
         if (applied.index == this->appliedState->index)
             return;
         this->recordChangeTimes(applied);
-        this->appliedState = std::make_shared<const OperatorState>(applied);
-        for (const NumberedText &text : this->appliedState->texts)
-            logInfo("operators' state changed", { { "text", text.name },
-                                                  { "number", text.number },
-                                                  { "index", this->appliedState->index } });
+        const auto previous =
+                std::exchange(this->appliedState, std::make_shared<const OperatorState>(applied));
+        for (const NumberedText &text : applied.texts) {
+            if (numberOf(*previous, text.name) != text.number)
+                logInfo("operators' state changed", { { "text", text.name },
+                                                      { "number", text.number },
+                                                      { "index", applied.index } });
+        }
+        if (previous->zonesOut != applied.zonesOut)
+            logInfo("zones out of service changed",
+                    { { "zones", applied.zonesOut }, { "index", applied.index } });
         this->pushViews();
     }
 
@@ -333,10 +354,7 @@
     {
         const TimePoint now = bootNow();
         for (const NumberedText &text : applied.texts) {
-            const auto previous =
-                    std::ranges::find(this->appliedState->texts, text.name, &NumberedText::name);
-            const bool isChanged =
-                    previous == this->appliedState->texts.end() || previous->number != text.number;
+            const bool isChanged = numberOf(*this->appliedState, text.name) != text.number;
             if (isChanged && now > this->startedAt + kLogReplayLimit)
                 this->inForceSince[text.name] = { text.number, now };
         }
@@ -487,6 +505,7 @@
         }
         for (const std::uint64_t id : callsToResend)
             this->submitCall(id);
+        this->unavailableCallCount += expiredCalls.size();
         for (const Done &done : expiredCalls)
             done(ControlResult{ .reason = kUnavailable });
         if (this->registry.tick(now))
@@ -508,6 +527,7 @@
     std::optional<TimePoint> confirmedAt; ///< time of the request that was confirmed last
     std::map<std::uint64_t, PendingCall> pendingCalls;
     std::uint64_t lastCallId{ 0 };
+    std::uint64_t unavailableCallCount{ 0 };
     std::uint64_t announcementCount{ 0 };
     std::optional<std::uint64_t> permitTerm; ///< term in which this instance leads, empty for none
     TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
@@ -549,6 +569,11 @@
     this->impl->call(command, std::move(done));
 }
 
+QuorumStatus RegistryNode::quorumStatus()
+{
+    return this->impl->quorumStatus();
+}
+
 void RegistryNode::addSeeds(const std::vector<std::string> &seeds)
 {
     this->impl->addSeeds(seeds);
--- a/src/registry_node.h
+++ b/src/registry_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control_node.h"
 #include "generated/messages.h"
 #include "generated/settings.h"
 #include "types.h"
@@ -59,6 +60,9 @@
     /// result has the reason "unavailable", and a command may still take effect afterwards.
     void call(const ControlCommand &command, Done done);
 
+    /// Returns this instance's role in the control quorum, and the leader as known here.
+    QuorumStatus quorumStatus();
+
     /// Adds other registry instances by address ("IP:port", any port of the instance). Only
     /// the IP address is used: links (connections between instances) go to the first port of the
     /// setting `linkPorts`.
