Add failing tests of calls at, and replacement through, instances outside of the quorum

The stateful test of automatic replacement, new, found a second fault of the same class on its way: an instance probes only the seeds, so a leader that is no seed never hears of it, and a lost data folder stays a voter for good.

--- a/tests/quorum_replacement_test.cpp
+++ b/tests/quorum_replacement_test.cpp
@@ -1,7 +1,190 @@
 #include "quorum_group.h"
 
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include <cstdlib>
+
 using namespace egret;
 
+namespace {
+
+constexpr std::size_t kInstances = 8;
+constexpr std::size_t kBootstrapMembers = 3;
+/// Number of data folders that may be lost within one spell of trouble.
+constexpr std::size_t kToleratedFolderLosses = 2;
+constexpr std::size_t kTargetVoters = 2 * kToleratedFolderLosses + 1;
+/// Time without trouble after which the group must bear the tolerated losses again.
+constexpr Milliseconds kCatchUpTime = 6s;
+
+/// A group that manages its members itself, with more instances than voters.
+class SelfManagedGroup : public QuorumGroup
+{
+public:
+    explicit SelfManagedGroup(std::uint64_t seed)
+        : QuorumGroup(kInstances, seed, kBootstrapMembers, kTargetVoters)
+    {}
+
+    void noteTrouble()
+    {
+        if (this->elapsed >= this->lastTroubleAt + kCatchUpTime)
+            this->lostFolders.clear();
+        this->lastTroubleAt = this->elapsed;
+    }
+
+    void crashOrRestart(std::size_t i)
+    {
+        this->noteTrouble();
+        if (this->members[i].quorum)
+            this->crash(i);
+        else
+            this->start(i, false);
+    }
+
+    /// The instance loses its data folder if the tolerated losses allow that.
+    void maybeLoseDataFolder(std::size_t i)
+    {
+        this->noteTrouble();
+        if (this->lostFolders.size() >= kToleratedFolderLosses && !this->lostFolders.contains(i))
+            return;
+        this->lostFolders.insert(i);
+        this->loseDataFolder(i);
+    }
+
+    void crashAll()
+    {
+        this->noteTrouble();
+        for (std::size_t i = 0; i < kInstances; ++i)
+            this->crash(i);
+    }
+
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < kInstances; ++i) {
+            if (!this->members[i].quorum)
+                this->start(i, false);
+        }
+    }
+
+    void partition(std::set<std::size_t> side)
+    {
+        this->noteTrouble();
+        this->partitionSide = std::move(side);
+    }
+
+    /// Ends all trouble, and checks that the group serves again and has lost no entry.
+    void settleAndCheck()
+    {
+        this->noteTrouble();
+        this->partitionSide.clear();
+        this->restartAll();
+        this->run(kSettleTime);
+        const auto leaderIndex = this->leader();
+        this->check(leaderIndex.has_value(), "a leader exists after the trouble ends");
+        if (!leaderIndex)
+            return;
+        this->check(this->propose(*leaderIndex, "last"), "the leader accepts a proposal");
+        this->run(2s);
+        std::size_t upToDateCount = 0;
+        for (const SimulatedMember &member : this->members)
+            upToDateCount += member.appliedIndex == this->appliedEntries.rbegin()->first ? 1 : 0;
+        this->check(upToDateCount >= kTargetVoters, "every voter has applied every entry");
+        this->check(this->members[*leaderIndex].appliedIndex
+                            == this->appliedEntries.rbegin()->first,
+                    "the leader has applied every entry");
+    }
+
+private:
+    std::set<std::size_t> lostFolders; ///< instances, within the present spell of trouble
+    Milliseconds lastTroubleAt{ 0 };
+};
+
+struct NoModel
+{
+};
+
+/// One random event. `kind` selects the event; an event with several case labels is more
+/// frequent.
+struct ReplacementStep : rc::state::Command<NoModel, SelfManagedGroup>
+{
+    int kind{ *rc::gen::inRange(0, 18) };
+    std::size_t target{ *rc::gen::inRange<std::size_t>(0, kInstances) };
+    std::size_t parameter{ *rc::gen::inRange<std::size_t>(0, 40) };
+
+    void run(const NoModel &, SelfManagedGroup &group) const override
+    {
+        const std::size_t leaderOrTarget = group.leader().value_or(this->target);
+        switch (this->kind) {
+        case 0:
+        case 1:
+        case 2:
+            group.run(kTimeStep * (this->parameter + 1));
+            break;
+        case 3:
+        case 4:
+            group.run(kTimeStep * 150);
+            break;
+        case 5:
+            group.run(kCatchUpTime + 1s);
+            break;
+        case 6:
+        case 7:
+        case 8:
+            group.propose(leaderOrTarget, std::to_string(this->parameter));
+            break;
+        case 9:
+            group.noteTrouble();
+            group.propose(leaderOrTarget, "crash", this->parameter % 5);
+            break;
+        case 10:
+            group.read(leaderOrTarget);
+            group.read(this->target);
+            break;
+        case 11:
+        case 12:
+            group.crashOrRestart(this->target);
+            break;
+        case 13:
+            group.partition({ this->target, (this->target + this->parameter) % kInstances });
+            break;
+        case 14:
+            group.partition({});
+            break;
+        case 15:
+            for (std::size_t i = 0; i < this->parameter; ++i)
+                group.deliverOutOfOrder(group.random(), i % 2 == 0);
+            break;
+        case 16:
+            if (this->parameter % 2 == 0)
+                group.crashAll();
+            group.restartAll();
+            break;
+        default:
+            group.maybeLoseDataFolder(this->parameter % 2 == 0 ? leaderOrTarget : this->target);
+            break;
+        }
+        RC_ASSERT(group.violations == std::vector<std::string>{});
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << "ReplacementStep(" << this->kind << ", " << this->target << ", " << this->parameter
+           << ")";
+    }
+};
+
+void checkRandomReplacements()
+{
+    SelfManagedGroup group(*rc::gen::arbitrary<std::uint32_t>());
+    group.run(4s);
+    rc::state::check(NoModel{}, group, rc::state::gen::execOneOfWithArgs<ReplacementStep>());
+    group.settleAndCheck();
+    RC_LOG(violationsOf(group));
+    RC_ASSERT(group.violations == std::vector<std::string>{});
+}
+
+} // namespace
+
 TEST(QuorumMembership, AGroupGrowsToItsTargetVoters)
 {
     QuorumGroup group(5, 1, 3, 5);
@@ -26,6 +209,46 @@
     EXPECT_EQ(violationsOf(group), "");
 }
 
+// Guards against instances whose probes reach the initial members only, while another member leads.
+TEST(QuorumMembership, AMemberWithALostDataFolderRejoinsWhenTheLeaderIsNoInitialMember)
+{
+    QuorumGroup group(kInstances, 1, kBootstrapMembers, kTargetVoters);
+    group.run(4s);
+    ASSERT_EQ(votersOf(group).size(), kTargetVoters);
+    while (*group.leader() < kBootstrapMembers) {
+        const std::size_t leader = *group.leader();
+        group.crash(leader);
+        group.run(3s);
+        group.start(leader, false);
+        group.run(1s);
+        ASSERT_TRUE(group.leader());
+    }
+    group.loseDataFolder(0);
+    group.run(4s);
+    EXPECT_EQ(votersOf(group).size(), kTargetVoters);
+    EXPECT_TRUE(votersOf(group).contains(endpointOf(0)));
+    EXPECT_TRUE(group.members[0].quorum->mayVote());
+    EXPECT_EQ(violationsOf(group), "");
+}
+
+// Guards against an instance outside of the group that knows no leader to send calls to.
+TEST(QuorumMembership, InstancesOutsideOfTheGroupKnowTheLeader)
+{
+    QuorumGroup group(kInstances, 1, kBootstrapMembers, kTargetVoters);
+    group.run(4s);
+    for (int leaderChange = 0; leaderChange < 5; ++leaderChange) {
+        ASSERT_TRUE(group.leader());
+        const std::size_t leader = *group.leader();
+        for (const SimulatedMember &instance : group.members)
+            EXPECT_EQ(instance.quorum->leaderEndpoint(), endpointOf(leader));
+        group.crash(leader);
+        group.run(4s);
+        group.start(leader, false);
+        group.run(1s);
+    }
+    EXPECT_EQ(violationsOf(group), "");
+}
+
 TEST(QuorumMembership, ASilentVoterIsReplacedByANewInstance)
 {
     QuorumGroup group(4, 1, 3, 3);
@@ -51,3 +274,28 @@
     EXPECT_TRUE(votersOf(group).contains(endpointOf(crashed)));
     EXPECT_EQ(violationsOf(group), "");
 }
+
+// Guards against committed entries that are lost, or a group without a leader, when members are
+// replaced while instances crash, are cut off and lose their data folders.
+RC_GTEST_PROP(QuorumMembership, KeepsCommittedEntriesWhileMembersAreReplaced, ())
+{
+    checkRandomReplacements();
+}
+
+// Repeats the random test for the number of seconds in the environment variable
+// EGRET_FUZZ_SECONDS, each time with the next seed. Without the variable, runs nothing.
+TEST(QuorumMembership, KeepsCommittedEntriesForTheFuzzDuration)
+{
+    const char *seconds = std::getenv("EGRET_FUZZ_SECONDS");
+    if (seconds == nullptr)
+        return;
+    const auto end = std::chrono::steady_clock::now() + Seconds(std::atoi(seconds));
+    rc::detail::TestParams params = rc::detail::configuration().testParams;
+    for (; std::chrono::steady_clock::now() < end; ++params.seed) {
+        const auto result = rc::detail::checkTestable(checkRandomReplacements,
+                                                      rc::detail::TestMetadata{}, params);
+        rc::detail::SuccessResult success;
+        ASSERT_TRUE(result.template is<rc::detail::SuccessResult>())
+                << "replay with RC_PARAMS=\"seed=" << params.seed << "\"";
+    }
+}
