Let a member that isn't a voter in its own membership grant votes

A group of five could stay without a leader for good: a voter that lost its data folder was added again as a learner and promoted; the leader was cut off and lost its own folder before the learner heard of its promotion. The remaining voters knew the new membership and needed the learner's vote, and the learner refused it because its own log still called it a learner.

ALearnerThatDoesNotKnowOfItsPromotionGrantsVotes failed before.

A vote is granted by its watermark and log alone, as in Raft: the candidate counts it by its own membership, and a member that was promoted keeps what it acknowledged. Only voters campaign, as before.

--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -177,9 +177,7 @@
 bool Quorum::mayVote() const
 {
     const QuorumMember *own = this->member(this->persistent.folder);
-    return own != nullptr && own->voter && this->isWatermarkConfirmed
-           && std::tuple(this->lastTerm(), this->lastIndex()) >= std::tuple(
-                      this->requiredWatermark.logTerm, this->requiredWatermark.logIndex);
+    return own != nullptr && own->voter && this->hasCaughtUpWithWatermark();
 }
 
 std::uint64_t Quorum::matchIndex(std::uint64_t folder) const
@@ -523,6 +521,13 @@
 
 // --- elections ---
 
+bool Quorum::hasCaughtUpWithWatermark() const
+{
+    return this->isWatermarkConfirmed
+           && std::tuple(this->lastTerm(), this->lastIndex()) >= std::tuple(
+                      this->requiredWatermark.logTerm, this->requiredWatermark.logIndex);
+}
+
 /// True when no voter, including this member, has seen a leader since the voter's start. In
 /// that case no member leads, and no lease of an earlier leader is valid.
 bool Quorum::isEveryVoterLeaderless() const
@@ -575,12 +580,13 @@
     // that was partitioned could depose the leader.
     if (!request.isPreVote && !mustWithholdVote && from.term > this->persistent.term)
         this->becomeFollower(now, from.term, 0);
-    // Step 2. Decide on the vote or pre-vote. A request is qualified if this member may vote and
-    // the log of the candidate is up to date. A qualified request is eligible unless a recent
-    // leader forbids the vote.
+    // Step 2. Decide on the vote or pre-vote. A request is qualified if this member has caught up
+    // with its watermark and the log of the candidate is up to date. A member that isn't a voter in
+    // its own latest membership grants votes too, because the candidate may know a later
+    // membership. A qualified request is eligible unless a recent leader forbids the vote.
     const std::uint64_t forTerm = request.isPreVote ? from.term + 1 : from.term;
-    const bool isQualified =
-            this->mayVote() && this->isUpToDate(request.lastTerm, request.lastIndex);
+    const bool isQualified = this->hasCaughtUpWithWatermark()
+                             && this->isUpToDate(request.lastTerm, request.lastIndex);
     const bool isEligible = isQualified && !mustWithholdVote;
     bool granted = false;
     if (request.isPreVote) {
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -196,8 +196,8 @@
     std::uint64_t lastIndex() const;
     std::uint64_t term() const { return this->persistent.term; }
 
-    /// True when this member may vote. The member must be a voter, must have confirmed its
-    /// watermark, and must hold every entry up to the watermark.
+    /// True when this member may campaign and counts as a voter in the latest membership that it
+    /// knows. Its folder's watermark must be confirmed, and the log must reach the watermark.
     bool mayVote() const;
 
     /// Highest log index that the member with data folder `folder` has acknowledged; 0 when
@@ -270,6 +270,8 @@
     void raiseTermWatermark(std::uint64_t folder, std::uint64_t term);
 
     // Elections.
+    /// True when the watermark of this folder is confirmed, and the log reaches the watermark.
+    bool hasCaughtUpWithWatermark() const;
     /// Starts a pre-vote or an election. `noVoterKnowsLeader` is true when every voter has
     /// reported that it has seen no leader since its start.
     void campaign(TimePoint now, bool isPreVote, bool noVoterKnowsLeader = false);
--- a/tests/quorum_replacement_test.cpp
+++ b/tests/quorum_replacement_test.cpp
@@ -258,6 +258,34 @@
     EXPECT_EQ(violationsOf(group), "");
 }
 
+// Guards against a group without a leader: the vote of a learner that doesn't know of its promotion
+// is needed, because the member that promoted it is gone.
+TEST(QuorumMembership, ALearnerThatDoesNotKnowOfItsPromotionGrantsVotes)
+{
+    QuorumPersistentState persistent{ .folder = 1, .cluster = 9, .term = 2 };
+    persistent.snapshot.index = 1;
+    persistent.snapshot.term = 1;
+    for (std::uint64_t folder = 1; folder <= 3; ++folder)
+        persistent.snapshot.members.members.push_back(
+                { .folder = folder, .endpoint = endpointOf(folder), .voter = folder != 1 });
+    const TimePoint start = TimePoint{} + 100s;
+    Quorum learner(QuorumOptions{ .endpoint = endpointOf(1) }, persistent, true, 1, start);
+    learner.receive(start + 5s, VoteRequest{ .header = { .cluster = 9,
+                                                         .folder = 2,
+                                                         .to = 1,
+                                                         .endpoint = endpointOf(2),
+                                                         .term = 3 },
+                                             .lastTerm = 2,
+                                             .lastIndex = 2 });
+    bool isGranted = false;
+    for (const QuorumAction &action : learner.takeActions()) {
+        if (const auto *send = std::get_if<SendQuorumMessage>(&action))
+            isGranted = isGranted || std::get<VoteReply>(send->message).granted;
+    }
+    EXPECT_TRUE(isGranted);
+    EXPECT_FALSE(learner.mayVote());
+}
+
 TEST(QuorumMembership, ASilentVoterIsReplacedByANewInstance)
 {
     QuorumGroup group(4, 1, 3, 3);
