--- a/tests/registry_calls_test.cpp
+++ b/tests/registry_calls_test.cpp
@@ -7,8 +7,11 @@
 
 #include <unistd.h>
 
+#include <atomic>
 #include <filesystem>
 #include <future>
+#include <mutex>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -60,7 +63,7 @@
         return this->addressPrefix + ".9." + std::to_string(registry + 1);
     }
 
-    std::unique_ptr<RegistryNode> startRegistry(std::uint32_t registry, bool isFirstStart)
+    std::shared_ptr<RegistryNode> startRegistry(std::uint32_t registry, bool isFirstStart)
     {
         NodeSettings settings{ .instance = "registry" + std::to_string(registry),
                                .zone = "a",
@@ -73,7 +76,7 @@
                                .clusterKey = std::string(64, 'a') };
         for (std::uint32_t seed = 0; seed < kSeedCount; ++seed)
             settings.seeds.push_back(this->addressOf(seed) + ":0");
-        auto node = std::make_unique<RegistryNode>(settings);
+        auto node = std::make_shared<RegistryNode>(settings);
         std::string problem;
         if (!node->start(problem))
             throw std::runtime_error(problem);
@@ -107,19 +110,48 @@
     }
 
     /// Runs a command or query as an operator does: at one registry, which has to find the leader.
+    /// The result isn't accepted when the registry stops meanwhile.
     CallOutcome call(std::uint32_t registry, const ControlCommand &command)
     {
         const TimePoint startedAt = bootNow();
-        std::promise<ControlResult> done;
-        RegistryNode &node = *this->registries[registry];
-        asio::post(node.context(), [&] {
-            node.call(command, [&done](const ControlResult &result) { done.set_value(result); });
+        const auto done = std::make_shared<std::promise<ControlResult>>();
+        auto result = done->get_future();
+        std::shared_ptr<RegistryNode> node;
+        {
+            const std::lock_guard lock(this->registriesMutex);
+            node = this->registries[registry];
+        }
+        if (!node)
+            return {};
+        // The context belongs to the node, so it must not hold a reference to it.
+        asio::post(node->context(), [running = node.get(), command, done] {
+            running->call(command, [done](const ControlResult &each) { done->set_value(each); });
         });
-        const ControlResult result = done.get_future().get();
-        return { .result = result,
+        if (result.wait_for(kCallTimeLimit) != std::future_status::ready)
+            return {};
+        return { .result = result.get(),
                  .duration = std::chrono::floor<Milliseconds>(bootNow() - startedAt) };
     }
 
+    /// Stops a registry as a crash does, and starts it again after `downTime`.
+    void restart(std::uint32_t registry, Milliseconds downTime)
+    {
+        std::shared_ptr<RegistryNode> stopped;
+        {
+            const std::lock_guard lock(this->registriesMutex);
+            stopped = std::exchange(this->registries[registry], nullptr);
+        }
+        stopped->stop();
+        const std::weak_ptr<RegistryNode> stoppedWeak = stopped;
+        stopped.reset();
+        while (!stoppedWeak.expired())
+            std::this_thread::sleep_for(1ms);
+        std::this_thread::sleep_for(downTime);
+        auto started = this->startRegistry(registry, false);
+        const std::lock_guard lock(this->registriesMutex);
+        this->registries[registry] = std::move(started);
+    }
+
     /// Stores a new number at every registry, and reads that number at every registry.
     void expectEveryRegistryServesOperators()
     {
@@ -142,7 +174,8 @@
     std::string folder;
     std::string addressPrefix;
     std::uint32_t linkPort{ 0 };
-    std::vector<std::unique_ptr<RegistryNode>> registries;
+    std::mutex registriesMutex;
+    std::vector<std::shared_ptr<RegistryNode>> registries; ///< empty while a registry is restarted
     std::uint64_t lastNumber{ 0 };
 };
 
@@ -159,9 +192,10 @@
     this->expectEveryRegistryServesOperators();
     for (const auto &registry : this->registries)
         registry->stop();
-    this->registries.clear();
     for (std::uint32_t i = 0; i < kRegistryCount; ++i)
-        this->registries.push_back(this->startRegistry(i, false));
+        this->registries[i].reset();
+    for (std::uint32_t i = 0; i < kRegistryCount; ++i)
+        this->registries[i] = this->startRegistry(i, false);
     ASSERT_TRUE(this->waitUntil([this] { return this->hasFullQuorum(); }));
     this->expectEveryRegistryServesOperators();
 }
@@ -177,9 +211,50 @@
     std::uint32_t leading = 0;
     while (leader != this->addressOf(leading) + ":" + std::to_string(this->linkPort))
         ++leading;
-    this->registries[leading]->stop();
-    this->registries[leading].reset();
-    this->registries[leading] = this->startRegistry(leading, false);
+    this->restart(leading, 0ms);
     ASSERT_TRUE(this->waitUntil([this] { return this->hasFullQuorum(); }));
     this->expectEveryRegistryServesOperators();
 }
+
+// Guards against an acknowledged document that is read back older.
+TEST_F(RegistryCalls, ReadsIncludeWhatWasAcknowledgedWhileRegistriesRestart)
+{
+    std::atomic<bool> isOver{ false };
+    std::atomic<std::uint64_t> acknowledged{ 0 };
+    std::atomic<int> readCount{ 0 };
+    std::vector<std::future<void>> operators;
+    operators.push_back(std::async(std::launch::async, [&] {
+        std::mt19937 random(1);
+        for (std::uint64_t number = 1; !isOver; ++number) {
+            const PutNumberedText command{ .text = { .name = "document", .number = number } };
+            while (!isOver && !this->call(random() % kRegistryCount, command).result.accepted)
+                std::this_thread::sleep_for(5ms);
+            if (!isOver)
+                acknowledged = number;
+        }
+    }));
+    for (std::uint32_t reader = 0; reader < 3; ++reader) {
+        operators.push_back(std::async(std::launch::async, [&, reader] {
+            std::mt19937 random(reader);
+            while (!isOver) {
+                const std::uint64_t least = acknowledged;
+                const auto read = this->call(random() % kRegistryCount,
+                                             ReadNumberedText{ .name = "document" });
+                if (!read.result.accepted)
+                    continue;
+                ++readCount;
+                EXPECT_GE(read.result.revision, least);
+            }
+        }));
+    }
+    std::mt19937 random(4);
+    for (int i = 0; i < 20; ++i) {
+        this->restart(random() % kRegistryCount, Milliseconds(random() % 300));
+        std::this_thread::sleep_for(Milliseconds(random() % 300));
+    }
+    isOver = true;
+    for (auto &each : operators)
+        each.get();
+    EXPECT_GT(acknowledged, 10U);
+    EXPECT_GT(readCount, 100);
+}
