Log the prompt's segments when an upstream closes the connection of an attempt

'attempt failed' now says whether the answer had begun, whether the upstream closed the connection, and the ids of the prompt's segments that other prompts may share; egret_attempts_closed_total counts such attempts, begun or not.

No functional change.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -144,6 +144,9 @@
     std::uint64_t piecesRelayed{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
     std::uint64_t permitsRefused{ 0 }; ///< permit requests that were refused or not answered
+    // Attempts whose connection the upstream closed, before and after the first event.
+    std::uint64_t closedBeforeBegin{ 0 };
+    std::uint64_t closedAfterBegin{ 0 };
 };
 
 std::uint64_t randomSeed()
@@ -274,6 +277,8 @@
         appendMetric("gateways", this->viewReader.view().gatewayCount());
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         appendMetric("slow_start_permits_refused_total", this->counters.permitsRefused);
+        appendMetric("attempts_closed_total{begun=\"false\"}", this->counters.closedBeforeBegin);
+        appendMetric("attempts_closed_total{begun=\"true\"}", this->counters.closedAfterBegin);
         const HttpPoolCounters &poolCounters = this->upstreamCalls.counters();
         appendMetric("upstream_connections_opened_total", poolCounters.opened);
         appendMetric("upstream_connections_reused_total", poolCounters.reused);
@@ -842,7 +847,13 @@
                                     { "upstream", exchange->upstream },
                                     { "sent", end.outcome != CallOutcome::unsent },
                                     { "passedOn", exchange->lifecycle.hasForwarded() },
+                                    { "begun", exchange->lifecycle.hasResponseBegun() },
+                                    { "closedByUpstream", end.isServerClose },
+                                    { "segments", exchange->metadata.promptSegments },
                                     { "detail", end.detail } });
+        if (end.isServerClose)
+            ++(exchange->lifecycle.hasResponseBegun() ? this->counters.closedAfterBegin
+                                                      : this->counters.closedBeforeBegin);
         if (end.outcome == CallOutcome::unsent && end.detail == "connection-limit")
             this->selector.onRefused(exchange->upstream, now);
         else
--- a/src/gateway_protocol.h
+++ b/src/gateway_protocol.h
@@ -12,10 +12,12 @@
 /// Fields parsed from the headers of a client's request.
 struct RequestMetadata
 {
-    std::string id;                         ///< id of the client's attempt
-    std::optional<Milliseconds> remaining;  ///< time that the client still waits
-    std::string key;                        ///< API key, empty for none
-    double promptTokens{ 0 };               ///< tokens in the prompt, as stated by the client
+    std::string id;                        ///< id of the client's attempt
+    std::optional<Milliseconds> remaining; ///< time that the client still waits
+    std::string key;                       ///< API key, empty for none
+    double promptTokens{ 0 };              ///< tokens in the prompt, as stated by the client
+    /// Ids of the segments of the prompt that other prompts may share, in order.
+    std::vector<std::string> promptSegments;
     std::optional<std::uint64_t> lastEvent; ///< number of the last event the client received
 };
 
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -209,6 +209,7 @@
             this->reader.finish();
             this->reachedEof = true;
         } else if (error) {
+            this->wasReset = error == asio::error::connection_reset;
             return this->fail(CallOutcome::broken, error.message());
         }
         if (this->processInput(std::string_view(this->input.data(), size)))
@@ -303,8 +304,10 @@
         this->hasCall = false;
         this->callId = 0;
         this->close();
+        const bool isServerClose =
+                outcome == CallOutcome::broken && (this->reachedEof || this->wasReset);
         if (onEnd)
-            onEnd(CallEnd{ .outcome = outcome, .detail = detail });
+            onEnd(CallEnd{ .outcome = outcome, .detail = detail, .isServerClose = isServerClose });
     }
 
     asio::ip::tcp::socket socket;
@@ -321,6 +324,7 @@
     bool isMismatched{ false }; ///< the current response belongs to another request
     bool hasSkippedResponse{ false };
     bool reachedEof{ false };
+    bool wasReset{ false };
     bool isClosed{ false };
     TimePoint connectDeadline;
     TimePoint lastUsed;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -25,6 +25,8 @@
 {
     CallOutcome outcome{ CallOutcome::whole };
     std::string detail; ///< reason when the outcome is not whole
+    /// The server closed or reset the connection after at least a part of the request was sent.
+    bool isServerClose{ false };
 };
 
 /// One request to a server. Callbacks run on the thread of the pool's io_context and may
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -165,6 +165,7 @@
                      { platform::kExpectInstance, "forged" },
                      { platform::kEnginePathHeader, "10.0.0.1:1=0-16" },
                      { platform::kTokenCount, "1460,80" },
+                     { platform::kPromptPrefix, "5c1e07a2:800, 91bd3f06:410,e4402b7d:250" },
                      { "Connection", "X-Hop" },
                      { "X-Hop", "1" },
                      { "X-Kept", "2" } },
@@ -175,6 +176,7 @@
     EXPECT_EQ(metadata.key, "k1");
     EXPECT_EQ(metadata.remaining, 900ms);
     EXPECT_EQ(metadata.promptTokens, 1460.0);
+    EXPECT_EQ(metadata.promptSegments, (std::vector<std::string>{ "5c1e07a2", "91bd3f06" }));
     const HttpHeaders headers = protocol.upstreamHeaders(
             request, { .upstream = "i-1", .customer = "t", .remaining = 500ms });
     EXPECT_EQ(headerValue(headers, platform::kTenant), "t");
