--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -79,23 +79,31 @@
     struct Stream
     {
         AbortableReplyPtr reply;
+        HttpHeaders headers;
+        TimePoint beginsAt; ///< time of the first event
+        bool crashesEngine{ false };
+        bool hasBegun{ false };
         std::uint64_t nextEvent{ 1 };
     };
 
-    /// State of one engine or service; only engines use the last three members.
+    /// State of one engine or service; only engines use the last four members.
     struct Upstream
     {
         UpstreamRecord record;
+        Endpoint endpoint;
+        std::unique_ptr<HttpFrontend> frontend;
         UpstreamStats stats;
         TimePoint slowStartUntil;
         std::map<std::size_t, std::string> stagedPieces; ///< contents by piece number
         std::vector<Stream> streams;
         std::optional<std::uint64_t> pendingLoadVersion; ///< version of the pending load order
+        bool isDown{ false };
     };
 
-    /// Starts an HTTP server; false when the endpoint can't be bound.
-    bool listen(const Endpoint &endpoint, HttpFrontendHandler handler,
-                std::size_t maxConnections = HttpFrontendOptions{}.maxConnections)
+    /// Starts an HTTP server; null when the endpoint can't be bound.
+    std::unique_ptr<HttpFrontend>
+    listen(const Endpoint &endpoint, HttpFrontendHandler handler,
+           std::size_t maxConnections = HttpFrontendOptions{}.maxConnections)
     {
         auto frontend = std::make_unique<HttpFrontend>(
                 this->pool.context(),
@@ -104,9 +112,35 @@
                                      .bounds = { .maxBodyBytes = 1U << 20U } },
                 std::move(handler));
         Reason<std::error_code> reason;
-        const bool isBound = frontend->start(reason);
-        this->frontends.push_back(std::move(frontend));
-        return isBound;
+        return frontend->start(reason) ? std::move(frontend) : nullptr;
+    }
+
+    /// Starts the HTTP server of an engine or service; false when the endpoint can't be bound.
+    bool listen(Upstream &upstream)
+    {
+        upstream.frontend =
+                this->listen(upstream.endpoint, [this, &upstream](HttpRequest &&request,
+                                                                  const AbortableReplyPtr &reply) {
+                    this->handleUpstream(upstream, std::move(request), reply);
+                });
+        return upstream.frontend != nullptr;
+    }
+
+    /// Ends all connections of an engine, and starts it again as a new instance without weights.
+    void crash(Upstream &engine)
+    {
+        this->crashStats.crashes.push_back(bootNow());
+        engine.streams.clear();
+        engine.frontend->stop();
+        engine.pendingLoadVersion.reset();
+        engine.record.version = 0;
+        engine.isDown = true;
+        this->pool.after(this->options.crashDownTime, [this, &engine] {
+            engine.record.id += "'";
+            engine.record.startedAtMs += 1000;
+            engine.record.sequence = 0;
+            engine.isDown = !this->listen(engine);
+        });
     }
 
     void handleUpstream(Upstream &upstream, HttpRequest &&request, const AbortableReplyPtr &reply)
@@ -122,16 +156,24 @@
             ++upstream.stats.misdirectedCount;
             return reply->send(421, "", "", platform::standinRefusalHeaders(metadata.id));
         }
-        upstream.stats.arrivals.push_back(bootNow());
+        const TimePoint now = bootNow();
+        upstream.stats.arrivals.push_back(now);
+        const bool isCrashing = !this->options.crashingSegment.empty()
+                                && metadata.promptSegments.find(this->options.crashingSegment + ":")
+                                           != std::string::npos;
+        if (isCrashing)
+            this->crashStats.arrivals.push_back(now);
         if (upstream.streams.size() >= kSlotsPerUpstream || upstream.pendingLoadVersion)
             return reply->send(503, "", "", platform::standinRefusalHeaders(metadata.id));
         ++upstream.stats.runsByRequestId[metadata.id];
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
             return reply->send(200, "text/plain", request.path + " done", headers);
-        reply->start(200, "text/event-stream", headers);
-        upstream.streams.push_back(
-                { .reply = reply, .nextEvent = metadata.lastEvent.value_or(0) + 1 });
+        upstream.streams.push_back({ .reply = reply,
+                                     .headers = headers,
+                                     .beginsAt = now + this->options.prefillTime,
+                                     .crashesEngine = isCrashing,
+                                     .nextEvent = metadata.lastEvent.value_or(0) + 1 });
     }
 
     /// Answers a stager's request to its engine; returns false without an answer
@@ -205,8 +247,16 @@
     /// stream is left, executes the pending load order.
     void runStep(Upstream &engine)
     {
-        for (Stream &stream : engine.streams)
+        const TimePoint now = bootNow();
+        for (Stream &stream : engine.streams) {
+            if (now < stream.beginsAt)
+                continue;
+            if (stream.crashesEngine)
+                return this->crash(engine);
+            if (!std::exchange(stream.hasBegun, true))
+                stream.reply->start(200, "text/event-stream", stream.headers);
             stream.reply->write(eventText(stream.nextEvent++));
+        }
         std::erase_if(engine.streams, [](const Stream &stream) {
             if (stream.nextEvent > kEventsPerStream)
                 stream.reply->finish();
@@ -290,12 +340,13 @@
     DeploymentOptions options;
     WorkerPool pool;
     std::unique_ptr<HttpPool> httpPool;
-    std::vector<std::unique_ptr<HttpFrontend>> frontends;
+    std::unique_ptr<HttpFrontend> originFrontend;
     std::vector<Endpoint> registries;
     std::vector<std::unique_ptr<Upstream>> engines;
     std::vector<std::unique_ptr<Upstream>> services;
     std::uint64_t originBytesSent{ 0 };
     std::map<std::uint64_t, std::uint32_t> manifestRequests; ///< by weights version
+    CrashStats crashStats;
 };
 
 Deployment::Deployment(DeploymentOptions options)
@@ -334,42 +385,38 @@
                              .zone = this->zoneOf(number),
                              .slots = kSlotsPerUpstream,
                              .model = isEngine ? kModel : "" };
+        upstream->endpoint = endpointOf(kind, number);
         return upstream;
     };
     bool areAllBound = true;
     this->impl->pool.run([&] {
-        const auto bindUpstream = [&](int kind, std::uint32_t number, Impl::Upstream &upstream) {
-            areAllBound = this->impl->listen(endpointOf(kind, number),
-                                             [this, &upstream](HttpRequest &&request,
-                                                               const AbortableReplyPtr &reply) {
-                                                 this->impl->handleUpstream(
-                                                         upstream, std::move(request), reply);
-                                             })
-                          && areAllBound;
-        };
         for (std::uint32_t i = 0; i < this->engineCount(); ++i) {
             this->impl->engines.push_back(makeUpstream(engineKind, i, kEngineService));
-            bindUpstream(engineKind, i, *this->impl->engines.back());
+            areAllBound = this->impl->listen(*this->impl->engines.back()) && areAllBound;
         }
         for (std::uint32_t i = 0; i < this->options.zoneCount; ++i) {
             this->impl->services.push_back(makeUpstream(serviceKind, i, kPlainService));
-            bindUpstream(serviceKind, i, *this->impl->services.back());
+            areAllBound = this->impl->listen(*this->impl->services.back()) && areAllBound;
         }
-        areAllBound = this->impl->listen(
-                              endpointOf(originKind, 0),
-                              [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
-                                  this->impl->handleOrigin(request, reply);
-                              },
-                              this->options.originConnections)
-                      && areAllBound;
+        this->impl->originFrontend = this->impl->listen(
+                endpointOf(originKind, 0),
+                [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
+                    this->impl->handleOrigin(request, reply);
+                },
+                this->options.originConnections);
+        areAllBound = areAllBound && this->impl->originFrontend != nullptr;
     });
     this->impl->pool.every(this->options.stepInterval, [impl = this->impl.get()] {
-        for (const auto &engine : impl->engines)
-            impl->runStep(*engine);
+        for (const auto &engine : impl->engines) {
+            if (!engine->isDown)
+                impl->runStep(*engine);
+        }
     });
     this->impl->pool.every(kAnnouncePeriod, [impl = this->impl.get()] {
-        for (const auto &engine : impl->engines)
-            impl->announce(*engine);
+        for (const auto &engine : impl->engines) {
+            if (!engine->isDown)
+                impl->announce(*engine);
+        }
         for (const auto &service : impl->services)
             impl->announce(*service);
     });
@@ -479,12 +526,12 @@
 
 Deployment::Response Deployment::sendRequest(std::uint32_t gateway, const std::string &path,
                                              const std::string &id, const std::string &key,
-                                             bool isPost)
+                                             bool isPost, const std::vector<std::string> &segments)
 {
     const std::string body = isPost ? "{\"a\":1}" : "";
     std::string head = std::string(isPost ? "POST " : "GET ") + path + " HTTP/1.1\r\n";
     for (const auto &[name, value] :
-         platform::standinClientHeaders(kHost, id, key, kRequestTimeout, 100))
+         platform::standinClientHeaders(kHost, id, key, kRequestTimeout, 100, segments))
         head += name + ": " + value + "\r\n";
     if (isPost)
         head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -507,6 +554,13 @@
     return stats;
 }
 
+CrashStats Deployment::crashStats()
+{
+    CrashStats stats;
+    this->impl->pool.run([&] { stats = this->impl->crashStats; });
+    return stats;
+}
+
 std::uint64_t Deployment::originBytesSent()
 {
     std::uint64_t bytes = 0;
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -34,6 +34,10 @@
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
     /// Limit in the plan on the request rate to an upstream in slow start; 0: no limit.
     double coldRequestsPerSecond{ 0 };
+    Milliseconds prefillTime{ 0 }; ///< time from the arrival at an engine to the first event
+    /// An engine crashes when it begins an answer to a prompt with this segment; empty for none.
+    std::string crashingSegment;
+    Milliseconds crashDownTime{ 500 }; ///< time from an engine's crash to its restart
 };
 
 /// Counters of one simulated upstream: an engine, which serves model weights, or a service, which
@@ -53,6 +57,13 @@
     std::vector<TimePoint> arrivals;
 };
 
+/// What the engines saw of prompts with the crashing segment.
+struct CrashStats
+{
+    std::vector<TimePoint> arrivals; ///< of requests with the segment, at any engine
+    std::vector<TimePoint> crashes;  ///< of engines
+};
+
 /// Simulated environment, called stand-in deployment in log lines. Simulates, on loopback
 /// addresses, the systems around registries, gateways and stagers: engines with staged weights,
 /// services, the origin of weights, the operator and clients. All simulated systems
@@ -98,14 +109,18 @@
 
     /// Sends a client's request to a gateway and waits for the response. `id` is the
     /// request ID and `key` the client's API key; `isPost` selects POST with a body
-    /// instead of GET. Returns an incomplete Response after a timeout.
+    /// instead of GET. `segments`: ids of the prompt's segments, the last one of this request
+    /// alone. Returns an incomplete Response after a timeout.
     Response sendRequest(std::uint32_t gateway, const std::string &path, const std::string &id,
-                         const std::string &key, bool isPost = true);
+                         const std::string &key, bool isPost = true,
+                         const std::vector<std::string> &segments = {});
 
     /// Counters of an engine or a service.
     UpstreamStats engineStats(std::uint32_t engine);
     UpstreamStats serviceStats(std::uint32_t service);
 
+    CrashStats crashStats();
+
     /// Bytes of pieces that the origin sent.
     std::uint64_t originBytesSent();
 
