--- a/tests/crashing_segment_test.cpp
+++ b/tests/crashing_segment_test.cpp
@@ -66,6 +66,7 @@
         std::atomic<int> sent{ 0 };
         std::atomic<int> served{ 0 };
         std::vector<std::future<void>> clients;
+        clients.reserve(clientCount);
         const TimePoint end = bootNow() + duration;
         for (int client = 0; client < clientCount; ++client) {
             clients.push_back(std::async(std::launch::async, [&, client] {
