Remove an upstream whose address a newer instance has

Callers saw 503 for up to 4 s after an engine had crashed and come back: the gateway still knew the instance that had crashed as a candidate beside its successor at the same address. The successor answers 421 to requests for the other one, which uses up the attempts and the retry budget.

Cause: UpstreamRecords marks the older instance as departed without reporting it, so UpstreamSelector was never told.

New: UpstreamSelectorTest.EngineIsNotSelectedOnceANewerOneHasItsAddress, which failed before (94 of 200 selections at the crashed instance).

--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -83,13 +83,31 @@
     const auto endpoint = Endpoint::parse(record.endpoint);
     if (!endpoint)
         return;
+    if (!this->takeEndpoint(record))
+        return;
     Upstream &upstream = this->upstreams[record.id];
     if (upstream.record.startedAtMs != record.startedAtMs)
         upstream = {};
     upstream.record = record;
     upstream.endpoint = *endpoint;
     upstream.slowStartUntil = now + record.coldFor;
+}
+
+/// Gives the endpoint of `record` to its upstream, and removes the upstream that had the endpoint
+/// before. False if an upstream that started later has the endpoint; `record` is then out of date.
+bool UpstreamSelector::takeEndpoint(const UpstreamRecord &record)
+{
+    const auto owner = this->idByEndpoint.find(record.endpoint);
+    if (owner != this->idByEndpoint.end() && owner->second != record.id) {
+        const auto other = this->upstreams.find(owner->second);
+        if (other != this->upstreams.end() && other->second.record.endpoint == record.endpoint) {
+            if (other->second.record.startedAtMs > record.startedAtMs)
+                return false;
+            this->upstreams.erase(other);
+        }
+    }
     this->idByEndpoint[record.endpoint] = record.id;
+    return true;
 }
 
 void UpstreamSelector::onLoadNotice(const LoadNotice &notice, TimePoint now)
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -112,6 +112,7 @@
     UpstreamSelector(SelectorOptions options, std::uint64_t seed);
 
     /// Adds or updates an upstream, or removes the upstream if the record announces a departure.
+    /// An upstream that started earlier at the same endpoint is removed: it has ended.
     void onRecord(const UpstreamRecord &record, TimePoint now);
 
     /// Stores the load notice of an engine.
@@ -184,6 +185,7 @@
         double weight{ 0 };          ///< relative probability of being selected
     };
 
+    bool takeEndpoint(const UpstreamRecord &record);
     bool isAllowed(const Upstream &upstream, const SelectionQuery &query) const;
     bool startsBeforeDeadline(const Candidate &candidate, const SelectionQuery &query,
                               TimePoint now) const;
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -243,6 +243,23 @@
     EXPECT_FALSE(this->selector.choose(this->query(), kStart + 2s).needsPermit);
 }
 
+// Guards against requests to a crashed engine whose address a new instance has.
+TEST_F(UpstreamSelectorTest, EngineIsNotSelectedOnceANewerOneHasItsAddress)
+{
+    this->selector.onRecord(this->record(1), kStart);
+    UpstreamRecord successor = this->record(1);
+    successor.id = "e1-again";
+    successor.startedAtMs = 2;
+    this->selector.onRecord(successor, kStart);
+    EXPECT_EQ(this->selectionCounts(this->query()),
+              (std::map<std::string, int>{ { "e1-again", 200 } }));
+    // A late announcement of the crashed engine changes nothing.
+    this->selector.onRecord(this->record(1), kStart);
+    EXPECT_EQ(this->selectionCounts(this->query()),
+              (std::map<std::string, int>{ { "e1-again", 200 } }));
+    EXPECT_EQ(this->selector.size(), 1U);
+}
+
 TEST_F(UpstreamSelectorTest, RefusedPermitKeepsRequestsAwayUntilItsRetryTime)
 {
     UpstreamRecord cold = this->record(1);
