Quarantine prompt segments that crash engines, for the whole deployment

Callers with requests of one kind got 502, and sound requests were lost beside them: one prompt segment crashed each engine that began an answer with it, and gateways kept sending such requests, twice each, until 44 engines had crashed.

Cause: which upstream fails was the only belief a gateway had of a broken connection, and each gateway had it alone. Eight gateways each saw a few crashes, with sound requests lost beside, and none added them up by what the requests had in common. Retries doubled the crashes.

Ruled out by segments and closedByUpstream in 'attempt failed': crashes of full or cold engines.

Fix: gateways report the segments of requests whose connection the engine closed before the first event, less those with which an answer began within the last second (CrashEvidence adds the reports up, segments with the most crashes first). The leading registry puts segments into a numbered text that the quorum stores, so that a restart or a new leader keeps it, and every gateway applies it with its next view. Requests with such a segment are refused with 503 before anything runs. A begin of an answer releases a segment at once; otherwise one request is admitted as a probe after 20 s, then four times as late each time.

--- /dev/null
+++ b/src/crash_evidence.cpp
@@ -0,0 +1,118 @@
+#include "crash_evidence.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace egret {
+
+void CrashEvidence::onCrash(const SegmentCrash &crash, TimePoint now)
+{
+    while (!this->reports.empty()
+           && (this->reports.size() >= this->options.maxReports
+               || !this->isCurrent(this->reports.front(), now)))
+        this->reports.pop_front();
+    if (!crash.segments.empty())
+        this->reports.push_back({ .crash = crash, .receivedAt = now });
+}
+
+void CrashEvidence::clear(const std::string &segment)
+{
+    for (Report &report : this->reports)
+        std::erase(report.crash.segments, segment);
+    std::erase_if(this->reports, [](const Report &each) { return each.crash.segments.empty(); });
+}
+
+std::vector<std::string> CrashEvidence::crashingSegments(TimePoint now) const
+{
+    std::vector<std::string> crashing;
+    std::set<std::string> explainedUpstreams;
+    while (true) {
+        const auto evidenceBySegment = this->collect(explainedUpstreams, now);
+        const auto strength = [](const auto &each) {
+            const Evidence &evidence = each.second;
+            return std::tuple(!evidence.isEstablished, evidence.crashCount, evidence.depth);
+        };
+        const std::string *strongest = nullptr;
+        const Evidence *strongestEvidence = nullptr;
+        for (const auto &each : evidenceBySegment) {
+            const bool isStronger =
+                    strongest == nullptr
+                    || strength(each) > strength(std::pair(*strongest, *strongestEvidence));
+            if (this->isSufficient(each.second) && isStronger) {
+                strongest = &each.first;
+                strongestEvidence = &each.second;
+            }
+        }
+        if (strongest == nullptr)
+            return crashing;
+        crashing.push_back(*strongest);
+        explainedUpstreams.insert(strongestEvidence->upstreams.begin(),
+                                  strongestEvidence->upstreams.end());
+    }
+}
+
+std::set<std::string> CrashEvidence::acquittedSegments(const std::vector<std::string> &crashing,
+                                                       TimePoint now) const
+{
+    std::set<std::string> explainedUpstreams;
+    for (const Report &report : this->reports) {
+        const bool isExplained =
+                std::ranges::any_of(report.crash.segments, [&crashing](const std::string &segment) {
+                    return std::ranges::find(crashing, segment) != crashing.end();
+                });
+        if (isExplained && this->isCurrent(report, now))
+            explainedUpstreams.insert(report.crash.upstream);
+    }
+    std::set<std::string> acquitted;
+    std::set<std::string> suspected(crashing.begin(), crashing.end());
+    for (const Report &report : this->reports) {
+        if (!this->isCurrent(report, now))
+            continue;
+        const auto &segments = report.crash.segments;
+        const bool isExplained = explainedUpstreams.contains(report.crash.upstream);
+        (isExplained ? acquitted : suspected).insert(segments.begin(), segments.end());
+    }
+    std::erase_if(acquitted,
+                  [&suspected](const std::string &each) { return suspected.contains(each); });
+    return acquitted;
+}
+
+/// Collects the evidence against each segment from the reports of crashes that are not explained.
+std::map<std::string, CrashEvidence::Evidence>
+CrashEvidence::collect(const std::set<std::string> &explainedUpstreams, TimePoint now) const
+{
+    std::map<std::string, Evidence> evidenceBySegment;
+    for (const Report &report : this->reports) {
+        const SegmentCrash &crash = report.crash;
+        if (!this->isCurrent(report, now) || explainedUpstreams.contains(crash.upstream))
+            continue;
+        for (std::size_t position = 0; position < crash.segments.size(); ++position) {
+            const std::string &segment = crash.segments[position];
+            Evidence &evidence = evidenceBySegment[segment];
+            evidence.requests.insert(crash.request);
+            evidence.depth = std::max(evidence.depth, position);
+            evidence.isEstablished = evidence.isEstablished
+                                     || std::ranges::find(crash.establishedSegments, segment)
+                                                != crash.establishedSegments.end();
+            const bool isNewUpstream = evidence.upstreams.insert(crash.upstream).second;
+            const bool isSimultaneous =
+                    evidence.crashCount > 0
+                    && report.receivedAt < evidence.countedAt + this->options.simultaneousWindow;
+            if (isNewUpstream && !isSimultaneous) {
+                ++evidence.crashCount;
+                evidence.countedAt = report.receivedAt;
+            }
+        }
+    }
+    return evidenceBySegment;
+}
+
+bool CrashEvidence::isSufficient(const Evidence &evidence) const
+{
+    const std::size_t threshold = evidence.isEstablished ? this->options.establishedCrashThreshold
+                                                         : this->options.crashThreshold;
+    return evidence.crashCount >= threshold
+           && evidence.requests.size() >= this->options.requestThreshold;
+}
+
+} // namespace egret
--- /dev/null
+++ b/src/crash_evidence.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "generated/messages.h"
+#include "types.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egret {
+
+struct CrashEvidenceOptions
+{
+    /// Crashes under requests with a segment, without an answer in between, after which the
+    /// segment counts as their cause.
+    std::size_t crashThreshold{ 3 };
+    /// As `crashThreshold`, for segments with which answers had begun before the crashes.
+    std::size_t establishedCrashThreshold{ 6 };
+    /// Different requests among them, since a sound request may meet several failing upstreams.
+    std::size_t requestThreshold{ 2 };
+    /// Crashes of several upstreams within this time count as one, because they probably have one
+    /// cause, such as the loss of an availability zone.
+    Milliseconds simultaneousWindow{ 100 };
+    Milliseconds lifetime{ 60s }; ///< reports are forgotten after this time
+    std::size_t maxReports{ 256 };
+};
+
+/// Finds prompt segments that crash engines, from the reports of all gateways. Each report names
+/// a request whose engine closed the connection before the answer had begun. Sound requests that
+/// were in progress at a crashing engine are reported too, but answers with their segments begin
+/// elsewhere, which clears these segments. Deterministic; not thread safe.
+class CrashEvidence
+{
+public:
+    explicit CrashEvidence(CrashEvidenceOptions options = {}) : options(options) {}
+
+    void onCrash(const SegmentCrash &crash, TimePoint now);
+
+    /// An answer to a prompt with this segment has begun: the segment is not the cause of the
+    /// crashes so far.
+    void clear(const std::string &segment);
+
+    /// Returns the segments that explain the crashes, the strongest evidence first. A segment that
+    /// occurs only in crashes that a stronger one explains is not among them. Among segments that
+    /// always occur together, the last in the prompts is blamed: fewer other requests have it.
+    std::vector<std::string> crashingSegments(TimePoint now) const;
+
+    /// Returns the segments that `crashing`, a result of `crashingSegments`, acquits: each of their
+    /// crashes is one of a segment in `crashing`.
+    std::set<std::string> acquittedSegments(const std::vector<std::string> &crashing,
+                                            TimePoint now) const;
+
+private:
+    struct Report
+    {
+        SegmentCrash crash;
+        TimePoint receivedAt;
+    };
+    /// Evidence against one segment.
+    struct Evidence
+    {
+        std::set<std::string> upstreams;
+        std::set<std::string> requests;
+        std::size_t crashCount{ 0 }; ///< crashes, simultaneous ones counted once
+        TimePoint countedAt;         ///< time of the crash that was counted last
+        std::size_t depth{ 0 };      ///< largest position in a prompt
+        bool isEstablished{ false };
+    };
+
+    std::map<std::string, Evidence> collect(const std::set<std::string> &explainedUpstreams,
+                                            TimePoint now) const;
+    bool isSufficient(const Evidence &evidence) const;
+    bool isCurrent(const Report &report, TimePoint now) const
+    {
+        return now <= report.receivedAt + this->options.lifetime;
+    }
+
+    CrashEvidenceOptions options;
+    std::deque<Report> reports; ///< oldest first
+};
+
+} // namespace egret
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "program.h"
 #include "registry_node.h"
 #include "request_lifecycle.h"
+#include "segment_quarantine.h"
 #include "slow_start_permits.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
@@ -51,6 +52,10 @@
 /// Retry-After value in the answer to a request that did not run, unless `UpstreamSelector`
 /// returned a time.
 constexpr Milliseconds kDefaultRetryAfter = 250ms;
+/// Retry-After value in the answer to a request with a quarantined prompt segment. A quarantine
+/// that turns out to be wrong ends sooner; any other lasts for minutes.
+constexpr Milliseconds kQuarantineRetryAfter = 2s;
+constexpr const char *kQuarantinedSegment = "quarantined-segment";
 /// An upstream in another region accepts a connection within a few milliseconds. Retransmission
 /// of a lost SYN would take a second; an attempt at another upstream takes less.
 constexpr Milliseconds kConnectTimeout = 300ms;
@@ -114,6 +119,7 @@
     const PlanService *service{ nullptr };
     RequestLifecycle lifecycle;
     TimePoint arrivedAt;
+    bool isProbe{ false };         ///< admitted to test a quarantined segment of its prompt
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
 
     // The current attempt.
@@ -274,6 +280,7 @@
         appendMetric("pieces_relayed_total", this->counters.piecesRelayed);
         appendMetric("requests_in_flight", this->exchanges.size());
         appendMetric("upstreams", this->selector.size());
+        appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         appendMetric("slow_start_permits_refused_total", this->counters.permitsRefused);
@@ -314,6 +321,8 @@
             this->selector.onLoadNotice(*notice, bootNow());
         else if (const auto *permit = std::get_if<PermitReply>(&frame.message))
             this->onPermitReply(*permit);
+        else if (const auto *probe = std::get_if<SegmentProbeGrant>(&frame.message))
+            this->quarantine.onProbeGranted(probe->segment, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
             this->onPiece(link, *piece);
         else if (std::holds_alternative<Have>(frame.message))
@@ -368,9 +377,29 @@
                 this->applyDocument(text);
             else if (text.name.starts_with(kWeightsTextPrefix))
                 this->applyWeightsVersion(text);
+            else if (text.name == kQuarantineText)
+                this->applyQuarantine(text);
         }
     }
 
+    void applyQuarantine(const NumberedText &text)
+    {
+        if (text.number <= this->quarantineNumber)
+            return;
+        this->quarantineNumber = text.number;
+        const auto segments = parseQuarantineText(text.text);
+        this->reportBegun(this->quarantine.setQuarantined(segments, bootNow()));
+        logInfo("quarantined segments changed",
+                { { "number", text.number }, { "segments", this->quarantine.size() } });
+    }
+
+    /// Tells the registries that answers to prompts with these segments begin.
+    void reportBegun(const std::vector<std::string> &segments)
+    {
+        if (!segments.empty())
+            this->viewReader.sendToAll(SegmentsBegun{ .segments = segments });
+    }
+
     void applyDocument(const NumberedText &text)
     {
         if (this->plan && this->plan->plan().number >= text.number)
@@ -458,6 +487,16 @@
             return this->refuse(metadata, *reply, kUnauthorized, "unknown-key");
         if (metadata.id.empty())
             return this->refuse(metadata, *reply, kBadRequest, "no-identity");
+        const SegmentDecision decision = this->quarantine.decide(metadata.promptSegments, now);
+        if (decision.mustAskForProbe)
+            this->hub.send(this->viewReader.view().confirmingRegistry(), Channel::control,
+                           SegmentProbeRequest{ .segment = decision.segment });
+        if (decision.isRefused)
+            return this->refuse(metadata, *reply, kUnavailable, kQuarantinedSegment,
+                                kQuarantineRetryAfter);
+        if (decision.isProbe)
+            logInfo("quarantined segment is probed",
+                    { { "request", metadata.id }, { "segment", decision.segment } });
         // Step 2. Create the exchange and send the request.
         const Milliseconds timeLimit =
                 std::min(route->timeout, metadata.remaining.value_or(route->timeout));
@@ -468,6 +507,7 @@
                                    .maxAttempts = std::max(1U, route->maxAttempts),
                                    .deadline = now + timeLimit }),
                 std::move(metadata));
+        exchange->isProbe = decision.isProbe;
         exchange->earlierWait = estimateEarlierWait(route->timeout, timeLimit);
         exchange->request = std::move(request);
         exchange->reply = reply;
@@ -510,11 +550,11 @@
     }
 
     void refuse(const RequestMetadata &metadata, AbortableReply &reply, int status,
-                const std::string &reason)
+                const std::string &reason, Milliseconds retryAfter = kUnavailableRetryAfter)
     {
         HttpHeaders headers = this->protocol.gatewayAnswerHeaders(metadata.id);
         if (status == kUnavailable)
-            headers.emplace_back("Retry-After", secondsText(kUnavailableRetryAfter));
+            headers.emplace_back("Retry-After", secondsText(retryAfter));
         ++this->counters.answers[reason];
         logInfo("request refused", { { "request", metadata.id },
                                      { "status", status },
@@ -571,6 +611,8 @@
     /// As `chooseAndSend`, for an attempt that the retry budget has already paid for.
     void chooseWithinBudget(const ExchangePtr &exchange, bool isResume)
     {
+        if (!this->mayAttempt(*exchange))
+            return this->giveUpQuarantined(exchange);
         const TimePoint now = bootNow();
         const SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
         const Selection selection = this->selector.choose(query, now);
@@ -594,6 +636,19 @@
             this->sendChosen(exchange, selection, isResume, now);
     }
 
+    /// False when a segment of the request's prompt is quarantined. A probe has one attempt.
+    bool mayAttempt(const Exchange &exchange) const
+    {
+        return (exchange.isProbe && exchange.lifecycle.attempts() == 0)
+               || !this->quarantine.isQuarantined(exchange.metadata.promptSegments);
+    }
+
+    void giveUpQuarantined(const ExchangePtr &exchange)
+    {
+        exchange->retryAfter = kQuarantineRetryAfter;
+        this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(kQuarantinedSegment));
+    }
+
     /// Sends the request to a chosen upstream whose permit, if it needs one, has been granted.
     void sendChosen(const ExchangePtr &exchange, const Selection &selection, bool isResume,
                     TimePoint now)
@@ -669,6 +724,8 @@
         // The check also covers a process that was suspended while it waited.
         if (reply.isGranted && now < wait.askedAt + kPermitLifetime) {
             this->selector.onPermitAbandoned(wait.selection.upstream);
+            if (!this->mayAttempt(*wait.exchange))
+                return this->giveUpQuarantined(wait.exchange);
             return this->sendChosen(wait.exchange, wait.selection, wait.isResume, now);
         }
         ++this->counters.permitsRefused;
@@ -805,6 +862,9 @@
         const std::string events = exchange->events.append(part);
         if (events.empty())
             return;
+        if (!exchange->lifecycle.hasResponseBegun())
+            this->reportBegun(
+                    this->quarantine.onBegun(exchange->metadata.promptSegments, bootNow()));
         this->startStream(*exchange);
         exchange->reply->write(events);
         if (exchange->reply->pendingBytes() > kMaxUnsentBytes) {
@@ -852,8 +912,7 @@
                                     { "segments", exchange->metadata.promptSegments },
                                     { "detail", end.detail } });
         if (end.isServerClose)
-            ++(exchange->lifecycle.hasResponseBegun() ? this->counters.closedAfterBegin
-                                                      : this->counters.closedBeforeBegin);
+            this->onClosedByUpstream(*exchange, now);
         if (end.outcome == CallOutcome::unsent && end.detail == "connection-limit")
             this->selector.onRefused(exchange->upstream, now);
         else
@@ -866,6 +925,21 @@
                                 exchange->lifecycle.onAttemptBroken("upstream-broke", now));
     }
 
+    /// An upstream that closes the connection before the answer has begun may have crashed on the
+    /// prompt.
+    void onClosedByUpstream(const Exchange &exchange, TimePoint now)
+    {
+        if (exchange.lifecycle.hasResponseBegun()) {
+            ++this->counters.closedAfterBegin;
+            return;
+        }
+        ++this->counters.closedBeforeBegin;
+        const SegmentCrash report = this->quarantine.onCrash(
+                exchange.upstream, exchange.metadata.id, exchange.metadata.promptSegments, now);
+        if (!report.segments.empty())
+            this->viewReader.sendToAll(report);
+    }
+
     /// Handles a complete answer of an upstream.
     void onComplete(const ExchangePtr &exchange)
     {
@@ -926,6 +1000,8 @@
     /// the retry budget is empty.
     bool retryElsewhere(const ExchangePtr &exchange, TimePoint now)
     {
+        if (!this->mayAttempt(*exchange))
+            return false;
         // The failure status in hand must be answered at once, without the wait for a permit.
         SelectionQuery query = this->selectionQuery(*exchange, now, false);
         query.mayNeedPermit = false;
@@ -1073,6 +1149,8 @@
     HttpPool upstreamCalls;
     HttpFrontend frontend;
     PlanIndexPtr plan;
+    SegmentQuarantine quarantine;
+    std::uint64_t quarantineNumber{ 0 }; ///< number of the quarantine text in force
     std::map<std::string, VersionDeadlines> versionDeadlines; ///< by model
     std::set<ExchangePtr> exchanges;
     std::map<std::uint64_t, PermitWait> permitWaits; ///< by id of the permit request
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -2,11 +2,13 @@
 
 #include "clock.h"
 #include "control_node.h"
+#include "crash_evidence.h"
 #include "link.h"
 #include "log.h"
 #include "node_options.h"
 #include "program.h"
 #include "registry.h"
+#include "segment_quarantine.h"
 #include "slow_start_permits.h"
 
 #include <asio/post.hpp>
@@ -40,6 +42,8 @@
 constexpr Milliseconds kPermitLeaseTime = 600ms;
 /// Retry time of a permit that is refused because this instance is not the issuer.
 constexpr Milliseconds kNotIssuerRetryAfter = 300ms;
+/// The oldest quarantined segments are released beyond this number.
+constexpr std::size_t kMaxQuarantinedSegments = 64;
 // Reasons in a `ControlResult`.
 constexpr const char *kNotLeader = "not-leader";
 constexpr const char *kUnavailable = "unavailable";
@@ -188,6 +192,8 @@
         appendMetric("votes", status.role == QuorumRole::voter ? 1 : 0);
         appendMetric("voters", status.voters);
         appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
+        appendMetric("segment_crashes_total", this->segmentCrashCount);
+        appendMetric("quarantined_segments", parseQuarantineText(this->quarantine().text).size());
         appendMetric("calls_total", this->lastCallId);
         appendMetric("calls_unavailable_total", this->unavailableCallCount);
         return text;
@@ -212,6 +218,12 @@
             this->finishCall(reply->callId, reply->result);
         else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
             this->onPermitRequest(link, *permit);
+        else if (const auto *crash = std::get_if<SegmentCrash>(&frame.message))
+            this->onSegmentCrash(*crash);
+        else if (const auto *begun = std::get_if<SegmentsBegun>(&frame.message))
+            this->onSegmentsBegun(*begun);
+        else if (const auto *probe = std::get_if<SegmentProbeRequest>(&frame.message))
+            this->onProbeRequest(link, *probe);
         else
             this->onQuorumFrame(frame);
     }
@@ -345,6 +357,7 @@
         if (previous->zonesOut != applied.zonesOut)
             logInfo("zones out of service changed",
                     { { "zones", applied.zonesOut }, { "index", applied.index } });
+        this->onQuarantineApplied();
         this->pushViews();
     }
 
@@ -369,6 +382,7 @@
         if (term != std::exchange(this->permitTerm, term)) {
             this->issuesPermitsSince = requestedAt;
             this->permits.clear();
+            this->hasNewEvidence = true;
         }
         if (!term) {
             this->confirmedAt.reset();
@@ -414,6 +428,121 @@
                                 .retryAfter = decision.retryAfter });
     }
 
+    // Prompt segments that crash engines.
+
+    /// Text with the quarantined segments in the applied state; number 0 when there is none.
+    NumberedText quarantine() const
+    {
+        const auto &texts = this->appliedState->texts;
+        const auto found = std::ranges::find(texts, kQuarantineText, &NumberedText::name);
+        return found == texts.end() ? NumberedText{ .name = kQuarantineText } : *found;
+    }
+
+    void onSegmentCrash(const SegmentCrash &crash)
+    {
+        ++this->segmentCrashCount;
+        this->crashEvidence.onCrash(crash, bootNow());
+        this->hasNewEvidence = true;
+        this->updateQuarantine();
+    }
+
+    void onSegmentsBegun(const SegmentsBegun &begun)
+    {
+        const auto quarantined = parseQuarantineText(this->quarantine().text);
+        for (const std::string &segment : begun.segments) {
+            this->crashEvidence.clear(segment);
+            if (std::ranges::find(quarantined, segment, &QuarantinedSegment::segment)
+                != quarantined.end())
+                this->segmentsToRelease.insert(segment);
+        }
+        this->hasNewEvidence = true;
+        this->updateQuarantine();
+    }
+
+    /// On the leader, proposes the quarantine that follows from the evidence, if it differs from
+    /// the one in force.
+    void updateQuarantine()
+    {
+        if (!this->hasNewEvidence || this->isQuarantineProposed || !this->node.leadingTerm())
+            return;
+        this->hasNewEvidence = false;
+        const TimePoint now = bootNow();
+        const NumberedText inForce = this->quarantine();
+        const auto current = parseQuarantineText(inForce.text);
+        const auto crashing = this->crashEvidence.crashingSegments(now);
+        const auto acquitted = this->crashEvidence.acquittedSegments(crashing, now);
+        auto wanted = current;
+        std::erase_if(wanted, [&](const QuarantinedSegment &each) {
+            return acquitted.contains(each.segment)
+                   || this->segmentsToRelease.contains(each.segment);
+        });
+        for (const std::string &segment : crashing) {
+            const auto known = std::ranges::find(wanted, segment, &QuarantinedSegment::segment);
+            if (known == wanted.end())
+                wanted.push_back({ .segment = segment });
+        }
+        if (wanted.size() > kMaxQuarantinedSegments)
+            wanted.erase(wanted.begin(), wanted.end() - kMaxQuarantinedSegments);
+        if (wanted != current)
+            this->proposeQuarantine(inForce.number + 1, wanted, {});
+    }
+
+    /// `done` is called when the quorum has accepted the text.
+    void proposeQuarantine(std::uint64_t number, const std::vector<QuarantinedSegment> &segments,
+                           const std::function<void()> &done)
+    {
+        this->isQuarantineProposed = true;
+        this->node.propose(PutNumberedText{ .text = { .name = kQuarantineText,
+                                                      .number = number,
+                                                      .text = quarantineText(segments) } },
+                           [this, done](const ControlResult &result) {
+                               this->post([this, done, isAccepted = result.accepted] {
+                                   this->isQuarantineProposed = false;
+                                   this->hasNewEvidence = true;
+                                   if (isAccepted && done)
+                                       done();
+                               });
+                           });
+    }
+
+    /// Forgets what the applied quarantine has settled.
+    void onQuarantineApplied()
+    {
+        const NumberedText text = this->quarantine();
+        if (text.number == std::exchange(this->appliedQuarantineNumber, text.number))
+            return;
+        const auto quarantined = parseQuarantineText(text.text);
+        std::string names;
+        for (const QuarantinedSegment &each : quarantined) {
+            names += (names.empty() ? "" : ",") + each.segment;
+        }
+        std::erase_if(this->segmentsToRelease, [&](const std::string &segment) {
+            return std::ranges::find(quarantined, segment, &QuarantinedSegment::segment)
+                   == quarantined.end();
+        });
+        this->segmentProbes.keepOnly(quarantined);
+        logInfo("quarantined segments changed",
+                { { "number", text.number }, { "segments", names } });
+    }
+
+    void onProbeRequest(const LinkPtr &link, const SegmentProbeRequest &request)
+    {
+        const NumberedText inForce = this->quarantine();
+        auto quarantined = parseQuarantineText(inForce.text);
+        const auto found =
+                std::ranges::find(quarantined, request.segment, &QuarantinedSegment::segment);
+        const bool mayDecide = this->node.leadingTerm() && !this->isQuarantineProposed;
+        if (!mayDecide || found == quarantined.end()
+            || !this->segmentProbes.start(*found, bootNow()))
+            return;
+        ++found->probes;
+        // A later leader has to know of the probe, so the count is stored first.
+        this->proposeQuarantine(inForce.number + 1, quarantined, [link, segment = request.segment] {
+            logInfo("probe of quarantined segment granted", { { "segment", segment } });
+            link->send(SegmentProbeGrant{ .segment = segment });
+        });
+    }
+
     // Upstreams.
 
     void onUpstreamsChanged()
@@ -508,6 +637,7 @@
         this->unavailableCallCount += expiredCalls.size();
         for (const Done &done : expiredCalls)
             done(ControlResult{ .reason = kUnavailable });
+        this->updateQuarantine();
         if (this->registry.tick(now))
             this->pushViews();
     }
@@ -533,6 +663,13 @@
     TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
     std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
     std::uint64_t permitCount{ 0 };
+    CrashEvidence crashEvidence;
+    SegmentProbes segmentProbes;
+    std::set<std::string> segmentsToRelease; ///< quarantined, but answers with them have begun
+    bool hasNewEvidence{ false };            ///< the quarantine may have to change
+    bool isQuarantineProposed{ false };
+    std::uint64_t appliedQuarantineNumber{ 0 };
+    std::uint64_t segmentCrashCount{ 0 };
 };
 
 RegistryNode::RegistryNode(const NodeSettings &settings) : impl(std::make_shared<Impl>(settings)) {}
--- a/src/view_reader.cpp
+++ b/src/view_reader.cpp
@@ -57,6 +57,12 @@
     this->hub.send(*next, Channel::control, this->state.makePull(*next, now));
 }
 
+void ViewReader::sendToAll(const Message &message)
+{
+    for (const std::string &registry : this->registries)
+        this->hub.send(registry, Channel::control, message);
+}
+
 void ViewReader::onView(const LinkPtr &link, const View &view)
 {
     const std::string &registry = link->target();
--- a/src/view_reader.h
+++ b/src/view_reader.h
@@ -38,6 +38,9 @@
     /// Adds registry instances by their link addresses.
     void addRegistries(const std::vector<std::string> &endpoints);
 
+    /// Sends a message to all known registry instances.
+    void sendToAll(const Message &message);
+
     /// State merged from all received views.
     const ViewState &view() const { return this->state; }
 
--- /dev/null
+++ b/tests/segment_quarantine_test.cpp
@@ -0,0 +1,119 @@
+#include "segment_quarantine.h"
+
+#include <gtest/gtest.h>
+
+using namespace egret;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{} + 100s;
+using Segments = std::vector<std::string>;
+
+std::vector<QuarantinedSegment> quarantined(const Segments &segments)
+{
+    std::vector<QuarantinedSegment> result;
+    for (const std::string &segment : segments)
+        result.push_back({ .segment = segment });
+    return result;
+}
+
+} // namespace
+
+TEST(SegmentQuarantine, TextKeepsSegmentsAndProbes)
+{
+    const std::vector<QuarantinedSegment> segments = { { .segment = "a1", .probes = 3 },
+                                                       { .segment = "with space" } };
+    EXPECT_EQ(parseQuarantineText(quarantineText(segments)), segments);
+    EXPECT_TRUE(parseQuarantineText("x a1\n\n7\n7 \n").empty());
+}
+
+TEST(SegmentQuarantine, RefusesRequestsWithAQuarantinedSegmentOnly)
+{
+    SegmentQuarantine quarantine;
+    quarantine.setQuarantined(quarantined({ "bad" }), kStart);
+    EXPECT_TRUE(quarantine.decide({ "shared", "bad" }, kStart).isRefused);
+    EXPECT_FALSE(quarantine.decide({ "shared", "other" }, kStart).isRefused);
+    EXPECT_FALSE(quarantine.decide({}, kStart).isRefused);
+    quarantine.setQuarantined({}, kStart);
+    EXPECT_FALSE(quarantine.decide({ "shared", "bad" }, kStart).isRefused);
+}
+
+TEST(SegmentQuarantine, ReportsNoSegmentWithWhichAnAnswerJustBegan)
+{
+    SegmentQuarantine quarantine;
+    quarantine.onBegun({ "shared" }, kStart);
+    const SegmentCrash soon = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 500ms);
+    EXPECT_EQ(soon.segments, Segments{ "bad" });
+    const SegmentCrash later = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 2s);
+    EXPECT_EQ(later.segments, (Segments{ "shared", "bad" }));
+    EXPECT_EQ(later.establishedSegments, Segments{ "shared" });
+}
+
+TEST(SegmentQuarantine, ReportsTheBeginOfSuspectedAndQuarantinedSegments)
+{
+    SegmentQuarantine quarantine;
+    EXPECT_TRUE(quarantine.onBegun({ "shared" }, kStart).empty());
+    quarantine.onCrash("e1", "r1", { "suspect" }, kStart);
+    quarantine.setQuarantined(quarantined({ "wrong" }), kStart);
+    EXPECT_EQ(quarantine.onBegun({ "shared", "suspect", "wrong" }, kStart),
+              (Segments{ "suspect", "wrong" }));
+    EXPECT_EQ(quarantine.onBegun({ "suspect" }, kStart), Segments{});
+}
+
+// Guards against sound requests refused although their answers have begun all along.
+TEST(SegmentQuarantine, ObjectsToASegmentWithWhichAnswersBegin)
+{
+    SegmentQuarantine quarantine;
+    quarantine.onBegun({ "served" }, kStart);
+    EXPECT_EQ(quarantine.setQuarantined(quarantined({ "served", "bad" }), kStart + 200ms),
+              Segments{ "served" });
+    EXPECT_TRUE(
+            quarantine.setQuarantined(quarantined({ "served", "bad" }), kStart + 200ms).empty());
+}
+
+TEST(SegmentQuarantine, AsksForAProbeOnceASecondAndUsesItOnce)
+{
+    SegmentQuarantine quarantine;
+    quarantine.setQuarantined(quarantined({ "bad" }), kStart);
+    EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).mustAskForProbe);
+    EXPECT_FALSE(quarantine.decide({ "bad" }, kStart + 500ms).mustAskForProbe);
+    EXPECT_TRUE(quarantine.decide({ "bad" }, kStart + 1s).mustAskForProbe);
+    quarantine.onProbeGranted("bad", kStart + 1s);
+    EXPECT_TRUE(quarantine.decide({ "bad" }, kStart + 2s).isProbe);
+    EXPECT_TRUE(quarantine.decide({ "bad" }, kStart + 2s).isRefused);
+    quarantine.onProbeGranted("bad", kStart + 2s);
+    EXPECT_FALSE(quarantine.decide({ "bad" }, kStart + 8s).isProbe);
+    quarantine.onProbeGranted("unknown", kStart);
+    EXPECT_FALSE(quarantine.decide({ "unknown" }, kStart).isProbe);
+}
+
+TEST(SegmentQuarantine, NoProbeOfAPromptWithTwoQuarantinedSegments)
+{
+    SegmentQuarantine quarantine;
+    quarantine.setQuarantined(quarantined({ "bad", "worse" }), kStart);
+    quarantine.onProbeGranted("bad", kStart);
+    EXPECT_FALSE(quarantine.decide({ "bad", "worse" }, kStart).isProbe);
+    EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).isProbe);
+}
+
+TEST(SegmentProbes, IntervalsGrowWithTheNumberOfProbes)
+{
+    SegmentProbes probes;
+    QuarantinedSegment bad{ .segment = "bad" };
+    EXPECT_FALSE(probes.start(bad, kStart));
+    EXPECT_FALSE(probes.start(bad, kStart + 19s));
+    EXPECT_TRUE(probes.start(bad, kStart + 20s));
+    bad.probes = 1;
+    EXPECT_FALSE(probes.start(bad, kStart + 99s));
+    EXPECT_TRUE(probes.start(bad, kStart + 100s));
+}
+
+// Guards against probes that a new leader admits as if there had been none.
+TEST(SegmentProbes, NewLeaderWaitsAsLongAsTheProbesBeforeDemand)
+{
+    SegmentProbes probes;
+    const QuarantinedSegment bad{ .segment = "bad", .probes = 2 };
+    EXPECT_FALSE(probes.start(bad, kStart));
+    EXPECT_FALSE(probes.start(bad, kStart + 319s));
+    EXPECT_TRUE(probes.start(bad, kStart + 320s));
+}
