Count interim responses towards the limit of a response's head

An upstream may send bytes without end. Interim (1xx) responses, each of them small, reset the count of head bytes, so that a reader went on with them for as long as they came.

HttpReader.InterimResponsesCountTowardsTheHeadLimit failed before: no fault after 100 interim responses of 40 bytes with a limit of 1024.

--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -119,10 +119,14 @@
             this->headBytes += parsed;
         const auto error = HTTP_PARSER_ERRNO(&this->parser);
         if (this->isInterim) {
-            // The final response answers the same request, so `hasNoBody` still applies.
+            // The final response answers the same request: `hasNoBody` and the limit still apply.
             const bool savedHasNoBody = this->hasNoBody;
+            const std::size_t savedHeadBytes = this->headBytes;
             this->reset();
             this->hasNoBody = savedHasNoBody;
+            this->headBytes = savedHeadBytes;
+            if (this->headBytes > this->options.maxHeadBytes)
+                this->currentFault = HttpFault::headTooLarge;
         } else if (error != HPE_OK && error != HPE_PAUSED
                    && this->currentFault == HttpFault::none) {
             this->currentFault = HttpFault::malformed;
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -27,7 +27,7 @@
 struct HttpReaderOptions
 {
     HttpMessageKind kind{ HttpMessageKind::request };
-    std::size_t maxHeadBytes{ 16U << 10U };
+    std::size_t maxHeadBytes{ 16U << 10U }; ///< interim responses count towards it
     std::size_t maxBodyBytes{ 1U << 20U };
 };
 
@@ -100,7 +100,7 @@
     http_parser parser{};
     HttpHead currentHead;
     std::string body;
-    std::size_t headBytes{ 0 };         ///< bytes of the current head parsed so far
+    std::size_t headBytes{ 0 };         ///< bytes of the heads parsed so far, with interim ones
     std::size_t bodyBytes{ 0 };         ///< bytes of the current body parsed so far
     bool lastCallbackWasValue{ false }; ///< the next onHeaderField call starts a new header
     bool headComplete{ false };
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -26,6 +26,15 @@
     EXPECT_TRUE(headerValue(reader.head().headers, "link").empty());
 }
 
+// Guards against interim responses without end, each of which is small.
+TEST(HttpReader, InterimResponsesCountTowardsTheHeadLimit)
+{
+    HttpReader reader({ .kind = HttpMessageKind::response, .maxHeadBytes = 1024 });
+    for (int i = 0; i < 100 && reader.fault() == HttpFault::none; ++i)
+        reader.feed("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    EXPECT_EQ(reader.fault(), HttpFault::headTooLarge);
+}
+
 TEST(HttpReader, AnOrderlyCloseCompletesABodyWithoutALength)
 {
     HttpReader reader({ .kind = HttpMessageKind::response });
