Bound the bytes and the time of outbound HTTP calls

A response without end was read up to 64 MB a call, late responses to other requests without any limit, and a response that trickled in held its connection for as long as the caller didn't cancel the call.

OutboundCall has a limit on all bytes received and, if wanted, on its time. The stager's calls, whose answers are buffered, may receive one frame (2 MB): larger pieces of the weights can't be relayed either.

Without the two checks both new tests fail: body bytes arrive at a limit of 16384 (HttpPoolTest.EndlessResponseEndsTheCallAtItsSizeLimit), and a trickle doesn't end (TrickleWithoutEndEndsTheCallAtItsTimeLimit).

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -21,7 +21,6 @@
 
 constexpr std::size_t kReadBytes = 8U << 10U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 /// The kernel closes a connection when sent bytes stay unacknowledged for this time.
 /// Otherwise an unresponsive server would hold requests until their deadline.
 constexpr Milliseconds kTcpUserTimeout = 1500ms;
@@ -66,17 +65,13 @@
 public:
     PooledConnection(asio::io_context &context, PoolState &poolState, Endpoint server)
         : server(std::move(server)), socket(context), poolState(poolState),
-          reader({ .kind = HttpMessageKind::response,
-                   .maxHeadBytes = kMaxHeadBytes,
-                   .maxBodyBytes = kMaxResponseBytes })
+          reader({ .kind = HttpMessageKind::response, .maxHeadBytes = kMaxHeadBytes })
     {}
 
     /// Opens the connection and sends `newCall`, its first call.
     void open(std::uint64_t callId, OutboundCall &&newCall)
     {
-        this->callId = callId;
-        this->call = std::move(newCall);
-        this->hasCall = true;
+        this->assign(callId, std::move(newCall));
         this->connectDeadline = bootNow() + this->call.connectTimeout;
         std::error_code error;
         const auto address = asio::ip::make_address(this->server.address, error);
@@ -110,9 +105,7 @@
                 ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (peekedBytes >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
             return false;
-        this->callId = callId;
-        this->call = std::move(newCall);
-        this->hasCall = true;
+        this->assign(callId, std::move(newCall));
         this->send();
         return true;
     }
@@ -137,6 +130,8 @@
         if (!this->isConnected && now >= this->connectDeadline) {
             ++this->poolState.counters.failed;
             this->fail(CallOutcome::unsent, "connect timed out");
+        } else if (this->hasCall && this->callDeadline && now >= *this->callDeadline) {
+            this->fail(this->isConnected ? CallOutcome::broken : CallOutcome::unsent, "timed out");
         } else if (this->isIdle() && now >= this->usableUntil(true)) {
             this->close();
         }
@@ -155,6 +150,18 @@
     const Endpoint server;
 
 private:
+    void assign(std::uint64_t newCallId, OutboundCall &&newCall)
+    {
+        this->callId = newCallId;
+        this->call = std::move(newCall);
+        this->hasCall = true;
+        this->receivedBytes = 0;
+        this->callDeadline.reset();
+        if (this->call.timeLimit)
+            this->callDeadline = bootNow() + *this->call.timeLimit;
+        this->reader.setBounds(kMaxHeadBytes, this->call.maxResponseBytes);
+    }
+
     void setSocketOptions()
     {
         std::error_code ignored;
@@ -212,6 +219,9 @@
             this->wasReset = error == asio::error::connection_reset;
             return this->fail(CallOutcome::broken, error.message());
         }
+        this->receivedBytes += size;
+        if (this->receivedBytes > this->call.maxResponseBytes)
+            return this->fail(CallOutcome::malformed, "response-too-large");
         if (this->processInput(std::string_view(this->input.data(), size)))
             this->read();
     }
@@ -326,7 +336,9 @@
     bool reachedEof{ false };
     bool wasReset{ false };
     bool isClosed{ false };
+    std::size_t receivedBytes{ 0 }; ///< bytes received during the call
     TimePoint connectDeadline;
+    std::optional<TimePoint> callDeadline;
     TimePoint lastUsed;
     Milliseconds idleTimeLimit{ kMaxIdleTime };
 };
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace egret {
@@ -44,6 +45,11 @@
     /// ends as `unsent`.
     std::size_t maxConnections{ 64 };
     Milliseconds connectTimeout{ 1s }; ///< limit on connecting; then the call ends as `unsent`
+    /// Limit on the whole call; then it ends as `broken`. Empty: the caller cancels the call.
+    std::optional<Milliseconds> timeLimit;
+    /// Limit on the bytes received during the call, also of interim responses and of late responses
+    /// to other requests; beyond it the call ends as `malformed`.
+    std::size_t maxResponseBytes{ 64U << 20U };
     /// Keep the connection for later calls after the response. False for servers whose connections
     /// are too few for all their callers.
     bool keepsConnection{ true };
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -40,6 +40,9 @@
 /// repeated, so the stager uses the origin again soon after the origin's return.
 constexpr Milliseconds kOriginConnectTimeout = 250ms;
 constexpr Milliseconds kCallTimeoutCheckPeriod = 50ms;
+/// Limit on the answer of an engine or origin, which is buffered completely. A piece of the weights
+/// has to fit into a frame.
+constexpr std::size_t kMaxAnswerBytes = kMaxFrameBytes;
 /// Time after which another stager or the origin is asked for the manifest.
 constexpr Milliseconds kManifestReplyTimeout = 300ms;
 /// Number of copies of one piece that don't match its digest, after which the digest is assumed to
@@ -1050,6 +1053,7 @@
                 .body = call.body,
                 .maxConnections = options.maxConnections,
                 .connectTimeout = options.connectTimeout,
+                .maxResponseBytes = kMaxAnswerBytes,
                 .keepsConnection = options.keepsConnection,
                 .onHead = [pending](const HttpHead &head) { pending->result.status = head.status; },
                 .onBody = [pending](std::string &&part) { pending->result.body += part; },
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -74,7 +74,10 @@
 
     /// Sends a request to the server and waits for the end of the call. A response with the
     /// header `Id: other` counts as a response to another request.
-    CallRecord call(bool mayRunTwice = true)
+    CallRecord call(bool mayRunTwice = true) { return this->call({ .mayRunTwice = mayRunTwice }); }
+
+    /// As above; `options` holds the limits of the call.
+    CallRecord call(OutboundCall &&options)
     {
         std::promise<CallRecord> done;
         auto record = std::make_shared<CallRecord>();
@@ -82,7 +85,9 @@
             this->httpPool->start({
                     .to = this->endpoint(),
                     .head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
-                    .mayRunTwice = mayRunTwice,
+                    .mayRunTwice = options.mayRunTwice,
+                    .timeLimit = options.timeLimit,
+                    .maxResponseBytes = options.maxResponseBytes,
                     .matchesRequest =
                             [](const HttpHead &head) {
                                 return headerValue(head.headers, "Id") != "other";
@@ -103,6 +108,24 @@
         return future.get();
     }
 
+    /// Starts a server that sends `begin` and then `rest` again and again, every `pause`, until
+    /// the client closes.
+    void serveWithoutEnd(std::string begin, std::string rest, Milliseconds pause = 0ms)
+    {
+        this->server = std::thread([this, begin = std::move(begin), rest = std::move(rest), pause] {
+            asio::ip::tcp::socket socket(this->serverContext);
+            this->acceptor.accept(socket);
+            std::string request;
+            std::error_code error;
+            asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+            asio::write(socket, asio::buffer(begin), error);
+            while (!error) {
+                asio::write(socket, asio::buffer(rest), error);
+                std::this_thread::sleep_for(pause);
+            }
+        });
+    }
+
     WorkerPool pool;
     asio::io_context serverContext;
     asio::ip::tcp::acceptor acceptor;
@@ -257,3 +280,36 @@
         EXPECT_EQ(record.end.outcome, isReset ? CallOutcome::broken : CallOutcome::whole);
     }
 }
+
+TEST_F(HttpPoolTest, EndlessResponseEndsTheCallAtItsSizeLimit)
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno";
+    const std::string filler(4096, 'x');
+    const std::vector<std::pair<std::string, std::string>> responses = {
+        { "HTTP/1.1 200 OK\r\n\r\n", filler },
+        { "HTTP/1.1 200 OK\r\nX: ", filler },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n" },
+        { late, late },
+    };
+    for (const auto &[begin, rest] : responses) {
+        this->serveWithoutEnd(begin, rest);
+        const CallRecord record = this->call({ .maxResponseBytes = 16U << 10U });
+        this->server.join();
+        EXPECT_EQ(record.end.outcome, CallOutcome::malformed) << begin;
+        EXPECT_FALSE(record.end.isServerClose);
+        EXPECT_LE(record.body.size(), 16U << 10U);
+    }
+}
+
+// Guards against a connection that is held forever by a response that trickles in.
+TEST_F(HttpPoolTest, TrickleWithoutEndEndsTheCallAtItsTimeLimit)
+{
+    for (const std::string begin : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " }) {
+        this->serveWithoutEnd(begin, "x", 10ms);
+        const CallRecord record = this->call({ .timeLimit = 300ms });
+        this->server.join();
+        EXPECT_EQ(record.end.outcome, CallOutcome::broken);
+        EXPECT_EQ(record.end.detail, "timed out");
+        EXPECT_FALSE(record.end.isServerClose);
+    }
+}
