Bound the memory of answers that aren't complete yet, of all requests together

A gateway buffered up to 16 MB of each answer and up to 64 MB of each event, in a process that may use 160 MB, and searched the whole partial event for its end with each part that arrived, so that a single event without end kept the gateway's only thread busy: other requests stood still.

BufferBudget limits one answer or event to 4 MB and all together to 32 MB; beyond that the largest attempt ends as broken, and is tried elsewhere or resumed like any other. EventStreamMerger searches each byte once. An answer whose client left is read until a second after the deadline at most.

--- a/src/event_stream_merger.cpp
+++ b/src/event_stream_merger.cpp
@@ -1,23 +1,26 @@
 #include "event_stream_merger.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
+#include <utility>
 
 namespace egret {
 
 namespace {
 
+constexpr std::string_view kLfBoundary = "\n\n";
+constexpr std::string_view kCrlfBoundary = "\r\n\r\n";
+
 /// Length of the first complete event including the blank line that ends it; 0 without a
-/// complete event.
-std::size_t eventLength(std::string_view bytes)
+/// complete event. The blank line is searched for from `searchFrom`.
+std::size_t eventLength(std::string_view bytes, std::size_t searchFrom)
 {
-    static constexpr std::string_view lfBoundary = "\n\n";
-    static constexpr std::string_view crlfBoundary = "\r\n\r\n";
-    const auto atLf = bytes.find(lfBoundary);
-    const auto atCrlf = bytes.find(crlfBoundary);
+    const auto atLf = bytes.find(kLfBoundary, searchFrom);
+    const auto atCrlf = bytes.find(kCrlfBoundary, searchFrom);
     if (atCrlf != std::string_view::npos && (atLf == std::string_view::npos || atCrlf < atLf))
-        return atCrlf + crlfBoundary.size();
-    return atLf == std::string_view::npos ? 0 : atLf + lfBoundary.size();
+        return atCrlf + kCrlfBoundary.size();
+    return atLf == std::string_view::npos ? 0 : atLf + kLfBoundary.size();
 }
 
 /// Number in the "id" field of an event; empty without a number.
@@ -49,7 +52,8 @@
     this->partial += bytes;
     std::string completeEvents;
     std::string_view remaining = this->partial;
-    while (const std::size_t length = eventLength(remaining)) {
+    std::size_t searchFrom = this->searchedBytes;
+    while (const std::size_t length = eventLength(remaining, std::exchange(searchFrom, 0))) {
         const std::string_view event = remaining.substr(0, length);
         remaining.remove_prefix(length);
         const auto id = eventId(event);
@@ -60,6 +64,9 @@
         completeEvents += event;
     }
     this->partial.erase(0, this->partial.size() - remaining.size());
+    // A boundary may have begun in the last bytes.
+    this->searchedBytes =
+            this->partial.size() - std::min(this->partial.size(), kCrlfBoundary.size());
     return completeEvents;
 }
 
--- a/src/event_stream_merger.h
+++ b/src/event_stream_merger.h
@@ -20,20 +20,25 @@
     {}
 
     /// Starts an attempt; discards a partial event of the previous attempt.
-    void begin() { this->partial.clear(); }
+    void begin()
+    {
+        this->partial = {};
+        this->searchedBytes = 0;
+    }
 
     /// Adds bytes of the current attempt. Returns the events that became complete, except events
     /// whose id is not higher than the last returned id.
     std::string append(const std::string &bytes);
 
-    /// True when bytes of an incomplete event are buffered.
-    bool hasPartialEvent() const { return !this->partial.empty(); }
+    /// Size in bytes of the incomplete event that is buffered; 0 without one.
+    std::size_t partialBytes() const { return this->partial.size(); }
 
     /// Id of the last event that the client received or that was returned; empty for none.
     std::optional<std::uint64_t> lastEventId() const { return this->lastForwardedId; }
 
 private:
-    std::string partial; ///< bytes of an incomplete event
+    std::string partial;            ///< bytes of an incomplete event
+    std::size_t searchedBytes{ 0 }; ///< leading bytes of `partial` in which no event ends
     std::optional<std::uint64_t> lastForwardedId;
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "buffer_budget.h"
 #include "clock.h"
 #include "event_stream_merger.h"
 #include "gateway_retry_budgets.h"
@@ -79,8 +80,8 @@
 /// Bytes of a streamed answer that may be buffered for a slow client. Above this limit the gateway
 /// closes the connection.
 constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
-/// Size limit in bytes of an answer that is not streamed. Such an answer is buffered completely.
-constexpr std::size_t kMaxBufferedBytes = 16U << 20U;
+/// Time after a request's deadline at which a discarded answer is no longer read.
+constexpr Milliseconds kDiscardedAnswerGrace = 1s;
 constexpr int kMaxPriority = 9;
 
 constexpr int kBadRequest = 400;
@@ -279,6 +280,7 @@
         appendMetric("clients_gone_total", this->counters.clientDisconnects);
         appendMetric("pieces_relayed_total", this->counters.piecesRelayed);
         appendMetric("requests_in_flight", this->exchanges.size());
+        appendMetric("answer_bytes_buffered", this->answerBuffers.total());
         appendMetric("upstreams", this->selector.size());
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
@@ -750,9 +752,10 @@
         exchange->chosenVersion = exchange->service->engine ? selection.version : 0;
         exchange->head = {};
         exchange->answer = {};
-        exchange->body.clear();
+        exchange->body = {};
         exchange->isStreamed = false;
         exchange->events.begin();
+        this->answerBuffers.set(exchange, 0);
         exchange->lifecycle.onSend(selection.upstream);
         if (selection.slowStartRemaining > 0ms)
             ++this->counters.slowStartSends;
@@ -770,6 +773,8 @@
             .mayRunTwice = exchange->route->kind != RequestKind::once,
             .maxConnections = selection.maxConnections,
             .connectTimeout = kConnectTimeout,
+            .timeLimit = std::chrono::ceil<Milliseconds>(exchange->lifecycle.deadline() - now)
+                         + kDiscardedAnswerGrace,
             .keepsConnection = selection.keepsConnection,
             .matchesRequest =
                     [this, id = exchange->metadata.id](const HttpHead &head) {
@@ -849,18 +854,16 @@
 
     void onBody(const ExchangePtr &exchange, std::string &&part)
     {
-        if (!exchange->isStreamed) {
+        std::string events;
+        if (exchange->isStreamed)
+            events = exchange->events.append(part);
+        else
             exchange->body += part;
-            if (exchange->body.size() > kMaxBufferedBytes) {
-                this->upstreamCalls.cancel(exchange->callId);
-                this->selector.onEnded(exchange->upstream, true, bootNow());
-                this->applyDecision(exchange, exchange->lifecycle.onAttemptBroken(
-                                                      "answer-too-large", bootNow()));
-            }
-            return;
-        }
-        const std::string events = exchange->events.append(part);
-        if (events.empty())
+        const auto excessive = this->answerBuffers.set(
+                exchange, exchange->body.size() + exchange->events.partialBytes());
+        if (excessive)
+            this->dropAnswer(*excessive);
+        if (events.empty() || excessive == exchange)
             return;
         if (!exchange->lifecycle.hasResponseBegun())
             this->reportBegun(
@@ -874,6 +877,19 @@
         }
     }
 
+    /// Ends an attempt whose answer takes too much memory.
+    void dropAnswer(const ExchangePtr &exchange)
+    {
+        const TimePoint now = bootNow();
+        logWarn("answer is too large", { { "request", exchange->metadata.id },
+                                         { "upstream", exchange->upstream },
+                                         { "bufferedBytes", this->answerBuffers.total() } });
+        this->answerBuffers.set(exchange, 0);
+        this->upstreamCalls.cancel(std::exchange(exchange->callId, 0));
+        this->selector.onEnded(exchange->upstream, true, now);
+        this->applyDecision(exchange, exchange->lifecycle.onAttemptBroken("answer-too-large", now));
+    }
+
     /// Forwards the head of a streamed answer unless a head was already forwarded.
     void startStream(Exchange &exchange)
     {
@@ -957,7 +973,7 @@
         if (!isSuccess(status))
             return this->onFailure(exchange, now);
         const bool isInvalid = !exchange->answer.hasServerStamp || exchange->answer.isEncoded
-                               || (exchange->isStreamed && exchange->events.hasPartialEvent());
+                               || (exchange->isStreamed && exchange->events.partialBytes() > 0);
         this->selector.onEnded(exchange->upstream, isInvalid, now);
         if (isInvalid)
             return this->applyDecision(exchange,
@@ -1048,6 +1064,7 @@
     void finishExchange(const ExchangePtr &exchange, int status, const std::string &outcome)
     {
         this->exchanges.erase(exchange);
+        this->answerBuffers.set(exchange, 0);
         const TimePoint now = bootNow();
         const auto msSinceArrival = [&](TimePoint at) {
             return std::chrono::duration_cast<Milliseconds>(at - exchange->arrivedAt).count();
@@ -1153,6 +1170,7 @@
     std::uint64_t quarantineNumber{ 0 }; ///< number of the quarantine text in force
     std::map<std::string, VersionDeadlines> versionDeadlines; ///< by model
     std::set<ExchangePtr> exchanges;
+    BufferBudget<ExchangePtr> answerBuffers; ///< answers and events that aren't complete yet
     std::map<std::uint64_t, PermitWait> permitWaits; ///< by id of the permit request
     std::uint64_t lastPermitId{ 0 };
     std::mt19937_64 randomGenerator{ randomSeed() };
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr std::size_t kEndlessBytesPerStep = 512U << 10U;
 constexpr const char *kHost = "standin.example";
 constexpr const char *kModel = "m";
 constexpr const char *kEngineService = "llm";
@@ -82,6 +83,7 @@
         HttpHeaders headers;
         TimePoint beginsAt; ///< time of the first event
         bool crashesEngine{ false };
+        bool isEndless{ false };
         bool hasBegun{ false };
         std::uint64_t nextEvent{ 1 };
     };
@@ -169,11 +171,14 @@
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
             return reply->send(200, "text/plain", request.path + " done", headers);
-        upstream.streams.push_back({ .reply = reply,
-                                     .headers = headers,
-                                     .beginsAt = now + this->options.prefillTime,
-                                     .crashesEngine = isCrashing,
-                                     .nextEvent = metadata.lastEvent.value_or(0) + 1 });
+        upstream.streams.push_back(
+                { .reply = reply,
+                  .headers = headers,
+                  .beginsAt = now + this->options.prefillTime,
+                  .crashesEngine = isCrashing,
+                  .isEndless = this->endlessAnswerCount < this->options.endlessAnswers,
+                  .nextEvent = metadata.lastEvent.value_or(0) + 1 });
+        this->endlessAnswerCount += upstream.streams.back().isEndless ? 1 : 0;
     }
 
     /// Answers a stager's request to its engine; returns false without an answer
@@ -255,7 +260,10 @@
                 return this->crash(engine);
             if (!std::exchange(stream.hasBegun, true))
                 stream.reply->start(200, "text/event-stream", stream.headers);
-            stream.reply->write(eventText(stream.nextEvent++));
+            if (stream.isEndless)
+                stream.reply->write(std::string(kEndlessBytesPerStep, 'x'));
+            else
+                stream.reply->write(eventText(stream.nextEvent++));
         }
         std::erase_if(engine.streams, [](const Stream &stream) {
             if (stream.nextEvent > kEventsPerStream)
@@ -347,6 +355,7 @@
     std::uint64_t originBytesSent{ 0 };
     std::map<std::uint64_t, std::uint32_t> manifestRequests; ///< by weights version
     CrashStats crashStats;
+    std::uint32_t endlessAnswerCount{ 0 };
 };
 
 Deployment::Deployment(DeploymentOptions options)
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -38,6 +38,8 @@
     /// An engine crashes when it begins an answer to a prompt with this segment; empty for none.
     std::string crashingSegment;
     Milliseconds crashDownTime{ 500 }; ///< time from an engine's crash to its restart
+    /// The engines' first answers are one event each, which has no end.
+    std::uint32_t endlessAnswers{ 0 };
 };
 
 /// Counters of one simulated upstream: an engine, which serves model weights, or a service, which
--- a/tests/event_stream_merger_test.cpp
+++ b/tests/event_stream_merger_test.cpp
@@ -22,9 +22,9 @@
 {
     EventStreamMerger events;
     EXPECT_EQ(events.append("id: 1\nda"), "");
-    EXPECT_TRUE(events.hasPartialEvent());
+    EXPECT_GT(events.partialBytes(), 0U);
     EXPECT_EQ(events.append("ta: x\n\n"), eventOf(1));
-    EXPECT_FALSE(events.hasPartialEvent());
+    EXPECT_EQ(events.partialBytes(), 0U);
     EXPECT_EQ(events.lastEventId(), 1U);
 }
 
