--- a/tests/crashing_segment_test.cpp
+++ b/tests/crashing_segment_test.cpp
@@ -108,6 +108,9 @@
     const double servedShare = this->sendSoundRequests(4s);
     crashing.get();
     const CrashStats stats = this->deployment->crashStats();
+    this->RecordProperty("crashes", static_cast<int>(stats.crashes.size()));
+    this->RecordProperty("late_arrivals", static_cast<int>(lateArrivals(stats)));
+    this->RecordProperty("served_percent", static_cast<int>(100 * servedShare));
     EXPECT_GE(stats.crashes.size(), 1U);
     EXPECT_LE(lateArrivals(stats), kMaxLateArrivals)
             << stats.arrivals.size() << " arrivals, " << stats.crashes.size() << " crashes";
