Bound the response of calls by libcurl

The same fault as in HttpPool, on the product's own path: agents, the weights agent and tools read a response without end until the call's timeout, and kept it in memory.

HttpClient.EndlessResponseEndsTheCallAtItsLimits and BodyLimitHoldsForPartsAsWell failed before: bytes were kept and passed on in 5 s at a limit of 16384.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -17,6 +17,7 @@
 constexpr Milliseconds kPollTimeout = 200ms;
 constexpr Milliseconds kConnectTimeout = 1s;
 constexpr long kMaxIdleConnections = 64;
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
 
 /// One call in progress; used only on the client's thread.
 struct Transfer
@@ -26,6 +27,9 @@
     CURL *curlEasy{ nullptr };
     curl_slist *headers{ nullptr };
     bool headDelivered{ false };
+    std::size_t headBytes{ 0 }; ///< bytes of heads received, with interim ones
+    std::size_t bodyBytes{ 0 }; ///< bytes of the body received
+    std::string fault;          ///< limit that the response exceeds; empty for none
 
     ~Transfer()
     {
@@ -56,6 +60,11 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     transfer->deliverHead();
+    transfer->bodyBytes += size * count;
+    if (transfer->bodyBytes > transfer->call.maxBodyBytes) {
+        transfer->fault = "body-too-large";
+        return 0; // libcurl then ends the transfer with an error
+    }
     if (transfer->call.onData)
         transfer->call.onData(std::string(data, size * count));
     else
@@ -66,6 +75,11 @@
 std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
+    transfer->headBytes += size * count;
+    if (transfer->headBytes > kMaxHeadBytes) {
+        transfer->fault = "head-too-large";
+        return 0;
+    }
     const std::string line(data, size * count);
     const auto colon = line.find(':');
     if (colon != std::string::npos) {
@@ -224,7 +238,8 @@
         curl_multi_remove_handle(this->curlMulti, transfer->curlEasy);
         transfer->result.complete = complete;
         transfer->result.requestSent = sentBytes > 0;
-        transfer->result.error = complete ? "" : error;
+        if (!complete)
+            transfer->result.error = transfer->fault.empty() ? error : transfer->fault;
         if (transfer->call.onDone)
             transfer->call.onDone(std::move(transfer->result));
     }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -29,6 +29,8 @@
     HttpHeaders headers;
     std::string body;
     Milliseconds timeout{ 10s }; ///< limit on the whole call, including connecting
+    /// Limit on the body of the response, also with `onData`; beyond it the call ends incomplete.
+    std::size_t maxBodyBytes{ 64U << 20U };
     /// True when the call must use a new connection. libcurl may resend a request on a reused
     /// connection, but not on a new connection.
     bool freshConnection{ false };
