Move the decisions on quarantined segments out of the registry's shell

QuarantineControl holds what RegistryNode decided beside its sockets, so that proposals, releases and probes are tested without them (quarantine_control_test).

No functional change.

--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -2,13 +2,12 @@
 
 #include "clock.h"
 #include "control_node.h"
-#include "crash_evidence.h"
 #include "link.h"
 #include "log.h"
 #include "node_options.h"
 #include "program.h"
+#include "quarantine_control.h"
 #include "registry.h"
-#include "segment_quarantine.h"
 #include "slow_start_permits.h"
 
 #include <asio/post.hpp>
@@ -42,8 +41,6 @@
 constexpr Milliseconds kPermitLeaseTime = 600ms;
 /// Retry time of a permit that is refused because this instance is not the issuer.
 constexpr Milliseconds kNotIssuerRetryAfter = 300ms;
-/// The oldest quarantined segments are released beyond this number.
-constexpr std::size_t kMaxQuarantinedSegments = 64;
 // Reasons in a `ControlResult`.
 constexpr const char *kNotLeader = "not-leader";
 constexpr const char *kUnavailable = "unavailable";
@@ -382,7 +379,7 @@
         if (term != std::exchange(this->permitTerm, term)) {
             this->issuesPermitsSince = requestedAt;
             this->permits.clear();
-            this->hasNewEvidence = true;
+            this->quarantineControl.onLeadershipChanged();
         }
         if (!term) {
             this->confirmedAt.reset();
@@ -441,21 +438,13 @@
     void onSegmentCrash(const SegmentCrash &crash)
     {
         ++this->segmentCrashCount;
-        this->crashEvidence.onCrash(crash, bootNow());
-        this->hasNewEvidence = true;
+        this->quarantineControl.onCrash(crash, bootNow());
         this->updateQuarantine();
     }
 
     void onSegmentsBegun(const SegmentsBegun &begun)
     {
-        const auto quarantined = parseQuarantineText(this->quarantine().text);
-        for (const std::string &segment : begun.segments) {
-            this->crashEvidence.clear(segment);
-            if (std::ranges::find(quarantined, segment, &QuarantinedSegment::segment)
-                != quarantined.end())
-                this->segmentsToRelease.insert(segment);
-        }
-        this->hasNewEvidence = true;
+        this->quarantineControl.onBegun(begun.segments, this->quarantine());
         this->updateQuarantine();
     }
 
@@ -463,81 +452,46 @@
     /// the one in force.
     void updateQuarantine()
     {
-        if (!this->hasNewEvidence || this->isQuarantineProposed || !this->node.leadingTerm())
+        if (!this->node.leadingTerm())
             return;
-        this->hasNewEvidence = false;
-        const TimePoint now = bootNow();
-        const NumberedText inForce = this->quarantine();
-        const auto current = parseQuarantineText(inForce.text);
-        const auto crashing = this->crashEvidence.crashingSegments(now);
-        const auto acquitted = this->crashEvidence.acquittedSegments(crashing, now);
-        auto wanted = current;
-        std::erase_if(wanted, [&](const QuarantinedSegment &each) {
-            return acquitted.contains(each.segment)
-                   || this->segmentsToRelease.contains(each.segment);
-        });
-        for (const std::string &segment : crashing) {
-            const auto known = std::ranges::find(wanted, segment, &QuarantinedSegment::segment);
-            if (known == wanted.end())
-                wanted.push_back({ .segment = segment });
-        }
-        if (wanted.size() > kMaxQuarantinedSegments)
-            wanted.erase(wanted.begin(), wanted.end() - kMaxQuarantinedSegments);
-        if (wanted != current)
-            this->proposeQuarantine(inForce.number + 1, wanted, {});
+        if (auto text = this->quarantineControl.propose(this->quarantine(), bootNow()))
+            this->proposeQuarantine(std::move(*text), {});
     }
 
     /// `done` is called when the quorum has accepted the text.
-    void proposeQuarantine(std::uint64_t number, const std::vector<QuarantinedSegment> &segments,
-                           const std::function<void()> &done)
+    void proposeQuarantine(NumberedText &&text, const std::function<void()> &done)
     {
-        this->isQuarantineProposed = true;
-        this->node.propose(PutNumberedText{ .text = { .name = kQuarantineText,
-                                                      .number = number,
-                                                      .text = quarantineText(segments) } },
+        this->node.propose(PutNumberedText{ .text = std::move(text) },
                            [this, done](const ControlResult &result) {
                                this->post([this, done, isAccepted = result.accepted] {
-                                   this->isQuarantineProposed = false;
-                                   this->hasNewEvidence = true;
+                                   this->quarantineControl.onProposalEnded();
                                    if (isAccepted && done)
                                        done();
                                });
                            });
     }
 
-    /// Forgets what the applied quarantine has settled.
     void onQuarantineApplied()
     {
         const NumberedText text = this->quarantine();
-        if (text.number == std::exchange(this->appliedQuarantineNumber, text.number))
+        if (!this->quarantineControl.onApplied(text))
             return;
-        const auto quarantined = parseQuarantineText(text.text);
         std::string names;
-        for (const QuarantinedSegment &each : quarantined) {
+        for (const QuarantinedSegment &each : parseQuarantineText(text.text))
             names += (names.empty() ? "" : ",") + each.segment;
-        }
-        std::erase_if(this->segmentsToRelease, [&](const std::string &segment) {
-            return std::ranges::find(quarantined, segment, &QuarantinedSegment::segment)
-                   == quarantined.end();
-        });
-        this->segmentProbes.keepOnly(quarantined);
         logInfo("quarantined segments changed",
                 { { "number", text.number }, { "segments", names } });
     }
 
     void onProbeRequest(const LinkPtr &link, const SegmentProbeRequest &request)
     {
-        const NumberedText inForce = this->quarantine();
-        auto quarantined = parseQuarantineText(inForce.text);
-        const auto found =
-                std::ranges::find(quarantined, request.segment, &QuarantinedSegment::segment);
-        const bool mayDecide = this->node.leadingTerm() && !this->isQuarantineProposed;
-        if (!mayDecide || found == quarantined.end()
-            || !this->segmentProbes.start(*found, bootNow()))
+        if (!this->node.leadingTerm())
+            return;
+        auto text = this->quarantineControl.proposeProbe(request.segment, this->quarantine(),
+                                                         bootNow());
+        if (!text)
             return;
-        ++found->probes;
-        // A later leader has to know of the probe, so the count is stored first.
-        this->proposeQuarantine(inForce.number + 1, quarantined, [link, segment = request.segment] {
+        this->proposeQuarantine(std::move(*text), [link, segment = request.segment] {
             logInfo("probe of quarantined segment granted", { { "segment", segment } });
             link->send(SegmentProbeGrant{ .segment = segment });
         });
@@ -663,12 +617,7 @@
     TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
     std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
     std::uint64_t permitCount{ 0 };
-    CrashEvidence crashEvidence;
-    SegmentProbes segmentProbes;
-    std::set<std::string> segmentsToRelease; ///< quarantined, but answers with them have begun
-    bool hasNewEvidence{ false };            ///< the quarantine may have to change
-    bool isQuarantineProposed{ false };
-    std::uint64_t appliedQuarantineNumber{ 0 };
+    QuarantineControl quarantineControl;
     std::uint64_t segmentCrashCount{ 0 };
 };
 
--- a/src/segment_quarantine.cpp
+++ b/src/segment_quarantine.cpp
@@ -25,19 +25,6 @@
 constexpr Milliseconds kProbeAskInterval = 1s;
 /// A granted probe that no request has used for this time is void.
 constexpr Milliseconds kProbeLifetime = 5s;
-/// Time from the quarantine of a segment to its first probe.
-constexpr Milliseconds kFirstProbeDelay = 20s;
-/// Factor by which the interval grows with each probe, up to `kMaxProbeInterval`.
-constexpr int kProbeBackoff = 4;
-constexpr Milliseconds kMaxProbeInterval = 6h;
-
-Milliseconds probeInterval(std::uint32_t earlierProbes)
-{
-    Milliseconds interval = kFirstProbeDelay;
-    for (; earlierProbes > 0 && interval < kMaxProbeInterval; --earlierProbes)
-        interval *= kProbeBackoff;
-    return std::min(interval, kMaxProbeInterval);
-}
 
 } // namespace
 
@@ -171,22 +158,4 @@
     return found != this->begunAt.end() && found->second >= since;
 }
 
-bool SegmentProbes::start(const QuarantinedSegment &quarantined, TimePoint now)
-{
-    const auto [next, isNew] =
-            this->nextProbeAt.emplace(quarantined.segment, now + probeInterval(quarantined.probes));
-    if (isNew || now < next->second)
-        return false;
-    next->second = now + probeInterval(quarantined.probes + 1);
-    return true;
-}
-
-void SegmentProbes::keepOnly(const std::vector<QuarantinedSegment> &quarantined)
-{
-    std::erase_if(this->nextProbeAt, [&](const auto &each) {
-        return std::ranges::find(quarantined, each.first, &QuarantinedSegment::segment)
-               == quarantined.end();
-    });
-}
-
 } // namespace egret
--- a/src/segment_quarantine.h
+++ b/src/segment_quarantine.h
@@ -81,21 +81,4 @@
     TimePoint nextCleanUpAt;
 };
 
-/// Decides for all gateways when a request with a quarantined segment may be admitted to test
-/// whether the segment still crashes engines. The intervals grow with the number of earlier probes,
-/// because each probe may cost an engine. Deterministic; not thread safe.
-class SegmentProbes
-{
-public:
-    /// True when a probe of the segment is due; it then counts as started. The first interval
-    /// begins with the first call for a segment.
-    bool start(const QuarantinedSegment &quarantined, TimePoint now);
-
-    /// Forgets all segments but the given ones.
-    void keepOnly(const std::vector<QuarantinedSegment> &quarantined);
-
-private:
-    std::map<std::string, TimePoint> nextProbeAt; ///< by segment
-};
-
 } // namespace egret
--- a/tests/segment_quarantine_test.cpp
+++ b/tests/segment_quarantine_test.cpp
@@ -95,25 +95,3 @@
     EXPECT_FALSE(quarantine.decide({ "bad", "worse" }, kStart).isProbe);
     EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).isProbe);
 }
-
-TEST(SegmentProbes, IntervalsGrowWithTheNumberOfProbes)
-{
-    SegmentProbes probes;
-    QuarantinedSegment bad{ .segment = "bad" };
-    EXPECT_FALSE(probes.start(bad, kStart));
-    EXPECT_FALSE(probes.start(bad, kStart + 19s));
-    EXPECT_TRUE(probes.start(bad, kStart + 20s));
-    bad.probes = 1;
-    EXPECT_FALSE(probes.start(bad, kStart + 99s));
-    EXPECT_TRUE(probes.start(bad, kStart + 100s));
-}
-
-// Guards against probes that a new leader admits as if there had been none.
-TEST(SegmentProbes, NewLeaderWaitsAsLongAsTheProbesBeforeDemand)
-{
-    SegmentProbes probes;
-    const QuarantinedSegment bad{ .segment = "bad", .probes = 2 };
-    EXPECT_FALSE(probes.start(bad, kStart));
-    EXPECT_FALSE(probes.start(bad, kStart + 319s));
-    EXPECT_TRUE(probes.start(bad, kStart + 320s));
-}
