--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -137,14 +137,6 @@
         }
     }
 
-    /// Closes the connection with a reset, so that sent bytes which haven't arrived yet are lost.
-    void abort()
-    {
-        std::error_code ignored;
-        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        this->close();
-    }
-
     void close()
     {
         if (std::exchange(this->isClosed, true))
@@ -389,9 +381,9 @@
         for (auto &[server, connections] : this->connectionsByServer) {
             for (const PooledConnectionPtr &connection : connections) {
                 if (connection->currentCallId() == callId) {
-                    // Keeps a copy because `abort` erases the element to which `connection` refers.
+                    // Keeps a copy because `close` erases the element to which `connection` refers.
                     const PooledConnectionPtr cancelledConnection = connection;
-                    cancelledConnection->abort();
+                    cancelledConnection->close();
                     return;
                 }
             }
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -85,8 +85,7 @@
     /// Starts a call and returns its id. `onEnd` never runs before `start` returns.
     std::uint64_t start(OutboundCall call);
 
-    /// Cancels a call by resetting its connection; no callback follows. The server does not get
-    /// bytes of the request that haven't arrived yet.
+    /// Cancels a call by closing its connection; no callback follows.
     void cancel(std::uint64_t callId);
 
     /// Closes the idle connections to a server.
