Log and count answers that name a request limit

The header is now decoded into AnswerMetadata::requestLimit: the lowest of several values; what is not a number of at least 0 counts as no limit. 'answer names a request limit' and egret_answers_with_request_limit_total show it.

No functional change.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -150,6 +150,7 @@
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
+    std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
     std::uint64_t permitsRefused{ 0 }; ///< permit requests that were refused or not answered
     // Attempts whose connection the upstream closed, before and after the first event.
     std::uint64_t closedBeforeBegin{ 0 };
@@ -285,6 +286,7 @@
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
+        appendMetric("answers_with_request_limit_total", this->counters.limitedAnswers);
         appendMetric("slow_start_permits_refused_total", this->counters.permitsRefused);
         appendMetric("attempts_closed_total{begun=\"false\"}", this->counters.closedBeforeBegin);
         appendMetric("attempts_closed_total{begun=\"true\"}", this->counters.closedAfterBegin);
@@ -836,6 +838,14 @@
     {
         exchange->head = head;
         exchange->answer = this->protocol.parseAnswerHead(head);
+        if (exchange->answer.requestLimit) {
+            ++this->counters.limitedAnswers;
+            logInfo("answer names a request limit",
+                    { { "request", exchange->metadata.id },
+                      { "upstream", exchange->upstream },
+                      { "status", head.status },
+                      { "requestsPerSecond", *exchange->answer.requestLimit } });
+        }
         const bool isUsable = isSuccess(head.status) && exchange->answer.hasServerStamp
                               && !exchange->answer.isEncoded;
         const bool isOtherVersion = exchange->lifecycle.hasForwarded()
--- a/src/gateway_protocol.h
+++ b/src/gateway_protocol.h
@@ -40,6 +40,8 @@
     bool isNotRun{ false };       ///< the upstream states that it did not run the request
     bool isEncoded{ false };      ///< a content encoding was applied to the upstream's body
     std::uint64_t version{ 0 };   ///< weights version that generated the answer, 0 for none
+    /// Requests a second that the upstream takes from all gateways together; empty: no limit.
+    std::optional<double> requestLimit;
 };
 
 /// Maps one deployment's HTTP headers and document (the operators' configuration of routes,
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -192,3 +192,21 @@
                                     }),
               1);
 }
+
+TEST(PlatformHeaders, ReadsTheLowestRequestLimitAndIgnoresWhatIsNoRate)
+{
+    const auto limitOf = [](const std::vector<std::string> &values) {
+        HttpHead head{ .status = 200 };
+        for (const std::string &value : values)
+            head.headers.emplace_back(platform::kServerLimit, value);
+        return platform::gatewayProtocol().parseAnswerHead(head).requestLimit;
+    };
+    EXPECT_EQ(limitOf({ "0.5" }), 0.5);
+    EXPECT_EQ(limitOf({ "0" }), 0.0);
+    EXPECT_EQ(limitOf({ " 12 " }), 12.0);
+    EXPECT_EQ(limitOf({ "3", "2" }), 2.0);
+    EXPECT_EQ(limitOf({ "2, NaN, 3" }), 2.0);
+    for (const std::string value : { "NaN", "inf", "-1", "1e999", "2 a second", "", ",", "0x2" })
+        EXPECT_EQ(limitOf({ value }), std::nullopt) << value;
+    EXPECT_EQ(limitOf({}), std::nullopt);
+}
