Add failing tests of upstreams that limit the rate of their requests

An engine and a service of the stand-in deployment name a limit of 2 requests a second in their answers; clients send at 16 gateways.

EndedLimitIsForgotten and UnreadableLimitsDoNoHarm pass on this code, which knows no limit; they guard the fix.

The load from all gateways and the peak of arrivals move from the slow-start tests to headers that both use; their bounds are the same.

--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -96,6 +96,7 @@
         std::unique_ptr<HttpFrontend> frontend;
         UpstreamStats stats;
         TimePoint slowStartUntil;
+        std::vector<std::string> requestLimits; ///< header values, see `setEngineRequestLimit`
         std::map<std::size_t, std::string> stagedPieces; ///< contents by piece number
         std::vector<Stream> streams;
         std::optional<std::uint64_t> pendingLoadVersion; ///< version of the pending load order
@@ -166,11 +167,14 @@
         if (isCrashing)
             this->crashStats.arrivals.push_back(now);
         if (upstream.streams.size() >= kSlotsPerUpstream || upstream.pendingLoadVersion)
-            return reply->send(503, "", "", platform::standinRefusalHeaders(metadata.id));
+            return reply->send(
+                    503, "", "",
+                    withRequestLimit(platform::standinRefusalHeaders(metadata.id), upstream));
         ++upstream.stats.runsByRequestId[metadata.id];
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
-            return reply->send(200, "text/plain", request.path + " done", headers);
+            return reply->send(200, "text/plain", request.path + " done",
+                               withRequestLimit(headers, upstream));
         upstream.streams.push_back(
                 { .reply = reply,
                   .headers = headers,
@@ -181,6 +185,14 @@
         this->endlessAnswerCount += upstream.streams.back().isEndless ? 1 : 0;
     }
 
+    /// Adds the limit that an upstream has on the rate of its requests to the headers of an answer.
+    static HttpHeaders withRequestLimit(HttpHeaders headers, const Upstream &upstream)
+    {
+        for (const std::string &value : upstream.requestLimits)
+            headers.push_back(platform::standinRequestLimitHeader(value));
+        return headers;
+    }
+
     /// Answers a stager's request to its engine; returns false without an answer
     /// for a client's request.
     bool handleEngineCall(Upstream &engine, const HttpRequest &request,
@@ -259,7 +271,8 @@
             if (stream.crashesEngine)
                 return this->crash(engine);
             if (!std::exchange(stream.hasBegun, true))
-                stream.reply->start(200, "text/event-stream", stream.headers);
+                stream.reply->start(200, "text/event-stream",
+                                    withRequestLimit(stream.headers, engine));
             if (stream.isEndless)
                 stream.reply->write(std::string(kEndlessBytesPerStep, 'x'));
             else
@@ -589,6 +602,17 @@
     this->impl->pool.run([&] { this->impl->engines.at(engine)->stagedPieces[piece] = "rotten"; });
 }
 
+void Deployment::setEngineRequestLimit(std::uint32_t engine, const std::vector<std::string> &values)
+{
+    this->impl->pool.run([&] { this->impl->engines.at(engine)->requestLimits = values; });
+}
+
+void Deployment::setServiceRequestLimit(std::uint32_t service,
+                                        const std::vector<std::string> &values)
+{
+    this->impl->pool.run([&] { this->impl->services.at(service)->requestLimits = values; });
+}
+
 void Deployment::startSlowStart(Milliseconds duration)
 {
     this->impl->pool.run([&] {
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -138,6 +138,11 @@
     /// Overwrites one staged piece of an engine with invalid bytes.
     void corruptStagedPiece(std::uint32_t engine, std::size_t piece);
 
+    /// The answers of an engine, or of a service, limit the rate of its requests by a header with
+    /// each of these values. No value: no limit.
+    void setEngineRequestLimit(std::uint32_t engine, const std::vector<std::string> &values);
+    void setServiceRequestLimit(std::uint32_t service, const std::vector<std::string> &values);
+
     /// Puts all engines and services in slow start; their announcements say so for `duration`.
     void startSlowStart(Milliseconds duration);
 
--- a/tests/slow_start_fleet_test.cpp
+++ b/tests/slow_start_fleet_test.cpp
@@ -1,8 +1,7 @@
+#include "arrival_peak.h"
 #include "clock.h"
 #include "deployment_fixture.h"
 
-#include <algorithm>
-
 using namespace egret;
 
 namespace {
@@ -12,17 +11,6 @@
 constexpr std::size_t kMaxRequestsInASecond = 14;
 constexpr std::uint32_t kGatewayCount = 24;
 
-/// Largest number of arrivals within any second.
-std::size_t peakPerSecond(const std::vector<TimePoint> &arrivals)
-{
-    std::size_t peak = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        const auto end = std::lower_bound(first, arrivals.end(), *first + 1s);
-        peak = std::max(peak, static_cast<std::size_t>(end - first));
-    }
-    return peak;
-}
-
 class SlowStartFleet : public DeploymentTest
 {
 protected:
@@ -38,38 +26,12 @@
         this->loadBegan = bootNow();
     }
 
-    /// Sends requests to every gateway for `duration` from one client per gateway, which pauses
-    /// for 100 ms between two requests. Returns the numbers of answers by status.
-    std::map<int, int> sendRequests(const std::string &path, Milliseconds duration)
-    {
-        const TimePoint end = std::chrono::steady_clock::now() + duration;
-        std::vector<std::future<std::map<int, int>>> clients;
-        for (std::uint32_t gateway = 0; gateway < kGatewayCount; ++gateway) {
-            clients.push_back(std::async(std::launch::async, [this, path, gateway, end] {
-                std::map<int, int> answers;
-                for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
-                    const std::string id = std::to_string(gateway) + "-" + std::to_string(i);
-                    const auto answer = this->deployment->sendRequest(gateway, path, id, "key");
-                    ++answers[answer.isComplete ? answer.status : 0];
-                    std::this_thread::sleep_for(100ms);
-                }
-                return answers;
-            }));
-        }
-        std::map<int, int> answers;
-        for (auto &client : clients) {
-            for (const auto &[status, count] : client.get())
-                answers[status] += count;
-        }
-        return answers;
-    }
-
     /// Checks the peak of the arrivals since the begin of the load.
     void expectKeepsToRate(const UpstreamStats &stats) const
     {
         std::vector<TimePoint> arrivals = stats.arrivals;
         std::erase_if(arrivals, [this](TimePoint at) { return at < this->loadBegan; });
-        EXPECT_LE(peakPerSecond(arrivals), kMaxRequestsInASecond);
+        EXPECT_LE(peakWithin(1s, arrivals), kMaxRequestsInASecond);
     }
 
     TimePoint loadBegan;
--- a/tests/slow_start_permits_test.cpp
+++ b/tests/slow_start_permits_test.cpp
@@ -1,8 +1,7 @@
+#include "arrival_peak.h"
 #include "fuzz.h"
 #include "slow_start_permits.h"
 
-#include <algorithm>
-
 using namespace egret;
 
 namespace {
@@ -11,18 +10,6 @@
 /// Age of an issuer from which it grants permits although an earlier issuer may have.
 constexpr Milliseconds kTakeoverTime = 1150ms;
 
-/// Largest number of uses within any second.
-std::size_t peakPerSecond(std::vector<TimePoint> uses)
-{
-    std::ranges::sort(uses);
-    std::size_t peak = 0;
-    for (auto first = uses.begin(); first != uses.end(); ++first) {
-        const auto end = std::lower_bound(first, uses.end(), *first + 1s);
-        peak = std::max(peak, static_cast<std::size_t>(end - first));
-    }
-    return peak;
-}
-
 } // namespace
 
 class SlowStartPermitsAtAnyGatewayCount : public testing::TestWithParam<int>
@@ -47,7 +34,7 @@
             }
         }
     }
-    EXPECT_LE(peakPerSecond(grants), 1.5 * rate + 5);
+    EXPECT_LE(peakWithin(1s, grants), 1.5 * rate + 5);
     EXPECT_GE(grants.size(), 10 * rate);
 }
 
@@ -109,6 +96,6 @@
             }
             now += Milliseconds(kind * 5);
         }
-        RC_ASSERT(static_cast<double>(peakPerSecond(uses)) <= rate * 1.5 + 5);
+        RC_ASSERT(static_cast<double>(peakWithin(1s, uses)) <= rate * 1.5 + 5);
     });
 }
