Grant permits for requests to upstreams that name a limit

Callers saw nothing; engines that had named a limit of 1 request a second (Server-Limit) got 16 to 18 in 4 s, 11 are allowed.

Cause: nothing read the header, so an engine in need was chosen like any other.

A named limit is now a second source of the rate of slow-start permits, which have one issuer for each upstream; the lower rate holds. RequestLimit decides from answers that may overtake each other; the gateway that learns of a change tells the registries, and these tell all gateways. A limit of 0 lets one request through every 4 s, since only answers end a limit.

Unit tests of order, ages, lower rate and restart.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -127,6 +127,7 @@
     std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
     std::uint64_t permitId{ 0 }; ///< id of the permit request in flight, 0 for none
     std::string upstream;        ///< id of the chosen upstream
+    TimePoint sentAt;
     std::uint64_t chosenVersion{ 0 }; ///< weights version of the upstream at the time of the choice
     HttpHead head;                    ///< status and headers of the upstream's answer
     AnswerMetadata answer;            ///< parsed from `head`
@@ -150,6 +151,7 @@
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
+    std::uint64_t limitedSends{ 0 };   ///< requests sent to upstreams that have named a limit
     std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
     std::uint64_t permitsRefused{ 0 }; ///< permit requests that were refused or not answered
     // Attempts whose connection the upstream closed, before and after the first event.
@@ -286,6 +288,8 @@
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
+        appendMetric("limited_upstreams", this->selector.limitedCount());
+        appendMetric("limited_sends_total", this->counters.limitedSends);
         appendMetric("answers_with_request_limit_total", this->counters.limitedAnswers);
         appendMetric("slow_start_permits_refused_total", this->counters.permitsRefused);
         appendMetric("attempts_closed_total{begun=\"false\"}", this->counters.closedBeforeBegin);
@@ -325,6 +329,8 @@
             this->selector.onLoadNotice(*notice, bootNow());
         else if (const auto *permit = std::get_if<PermitReply>(&frame.message))
             this->onPermitReply(*permit);
+        else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
+            this->onRequestLimit(limit->upstream, observationOf(*limit, bootNow()));
         else if (const auto *probe = std::get_if<SegmentProbeGrant>(&frame.message))
             this->quarantine.onProbeGranted(probe->segment, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
@@ -634,7 +640,7 @@
             return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(
                                                          noUpstreamReasonName(selection.problem)));
         }
-        if (selection.needsPermit)
+        if (selection.permitRate)
             this->requestPermit(exchange, selection, isResume, now);
         else
             this->sendChosen(exchange, selection, isResume, now);
@@ -665,6 +671,7 @@
                                      { "expectedMs", selection.expectedFirstToken.count() },
                                      { "version", selection.version },
                                      { "slowStartMs", selection.slowStartRemaining.count() },
+                                     { "permitRate", selection.permitRate.value_or(0) },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
         if (isResume)
             ++this->counters.resumes;
@@ -673,7 +680,7 @@
         this->send(exchange, selection, now);
     }
 
-    // Permits for upstreams in slow start.
+    // Permits for upstreams in slow start and for upstreams that have named a limit.
 
     /// A request that waits for a permit.
     struct PermitWait
@@ -705,8 +712,7 @@
         const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
         const PermitRequest request{ .callId = id,
                                      .upstream = selection.upstream,
-                                     .requestsPerSecond =
-                                             exchange->service->coldRequestsPerSecond };
+                                     .requestsPerSecond = *selection.permitRate };
         const bool isSent =
                 this->hub.send(this->permitIssuer(*exchange, selection), channel, request);
         this->pool.after(isSent ? kPermitLifetime : 0ms, [this, id] {
@@ -751,6 +757,7 @@
     void send(const ExchangePtr &exchange, const Selection &selection, TimePoint now)
     {
         exchange->upstream = selection.upstream;
+        exchange->sentAt = now;
         exchange->chosenVersion = exchange->service->engine ? selection.version : 0;
         exchange->head = {};
         exchange->answer = {};
@@ -761,6 +768,8 @@
         exchange->lifecycle.onSend(selection.upstream);
         if (selection.slowStartRemaining > 0ms)
             ++this->counters.slowStartSends;
+        else if (selection.permitRate)
+            ++this->counters.limitedSends;
         this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
         // Tells whether the call's events still matter: false once the request has ended or was
         // sent to another upstream.
@@ -838,14 +847,7 @@
     {
         exchange->head = head;
         exchange->answer = this->protocol.parseAnswerHead(head);
-        if (exchange->answer.requestLimit) {
-            ++this->counters.limitedAnswers;
-            logInfo("answer names a request limit",
-                    { { "request", exchange->metadata.id },
-                      { "upstream", exchange->upstream },
-                      { "status", head.status },
-                      { "requestsPerSecond", *exchange->answer.requestLimit } });
-        }
+        this->learnRequestLimit(*exchange);
         const bool isUsable = isSuccess(head.status) && exchange->answer.hasServerStamp
                               && !exchange->answer.isEncoded;
         const bool isOtherVersion = exchange->lifecycle.hasForwarded()
@@ -862,6 +864,42 @@
         }
     }
 
+    /// Learns from the head of an answer whether the upstream limits the rate of its requests.
+    void learnRequestLimit(const Exchange &exchange)
+    {
+        const AnswerMetadata &answer = exchange.answer;
+        if (exchange.head.status == kMisdirectedRequest)
+            return; // the answer of another instance at the upstream's address
+        if (answer.requestLimit) {
+            ++this->counters.limitedAnswers;
+            logInfo("answer names a request limit",
+                    { { "request", exchange.metadata.id },
+                      { "upstream", exchange.upstream },
+                      { "status", exchange.head.status },
+                      { "requestsPerSecond", *answer.requestLimit } });
+        } else if (!isSuccess(exchange.head.status) || !answer.hasServerStamp) {
+            return; // only an answer of the upstream to a request that it ran ends a limit
+        }
+        const TimePoint now = bootNow();
+        const RequestLimitObservation observation{ .requestsPerSecond = answer.requestLimit,
+                                                   .requestSentAt = exchange.sentAt,
+                                                   .answeredAt = now };
+        if (this->onRequestLimit(exchange.upstream, observation))
+            this->viewReader.sendToAll(requestLimitReport(exchange.upstream, observation, now));
+    }
+
+    /// Applies what an answer says, here or at another gateway; true when the limit changed.
+    bool onRequestLimit(const std::string &upstream, const RequestLimitObservation &answer)
+    {
+        if (!this->selector.onRequestLimit(upstream, answer))
+            return false;
+        logInfo("upstream's request limit changed",
+                { { "upstream", upstream },
+                  { "isLimited", answer.requestsPerSecond.has_value() },
+                  { "requestsPerSecond", answer.requestsPerSecond.value_or(0) } });
+        return true;
+    }
+
     void onBody(const ExchangePtr &exchange, std::string &&part)
     {
         std::string events;
--- a/src/registry.h
+++ b/src/registry.h
@@ -55,6 +55,9 @@
     /// of slow start, is reduced to the value at `now`.
     std::vector<UpstreamRecord> changesSince(std::uint64_t changeNumber, TimePoint now) const;
 
+    /// True when the upstream is known, also when it has departed.
+    bool contains(const std::string &id) const { return this->records.find(id) != nullptr; }
+
     /// Number of known upstreams, including departed upstreams.
     std::size_t size() const { return this->records.all().size(); }
 
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -8,6 +8,7 @@
 #include "program.h"
 #include "quarantine_control.h"
 #include "registry.h"
+#include "request_limit.h"
 #include "slow_start_permits.h"
 
 #include <asio/post.hpp>
@@ -189,6 +190,7 @@
         appendMetric("votes", status.role == QuorumRole::voter ? 1 : 0);
         appendMetric("voters", status.voters);
         appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
+        appendMetric("limited_upstreams", std::ranges::count_if(this->requestLimits, isLimited));
         appendMetric("segment_crashes_total", this->segmentCrashCount);
         appendMetric("quarantined_segments", parseQuarantineText(this->quarantine().text).size());
         appendMetric("calls_total", this->lastCallId);
@@ -215,6 +217,8 @@
             this->finishCall(reply->callId, reply->result);
         else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
             this->onPermitRequest(link, *permit);
+        else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
+            this->onRequestLimit(*limit);
         else if (const auto *crash = std::get_if<SegmentCrash>(&frame.message))
             this->onSegmentCrash(*crash);
         else if (const auto *begun = std::get_if<SegmentsBegun>(&frame.message))
@@ -249,6 +253,7 @@
     void onPull(const LinkPtr &link, const ViewPull &pull)
     {
         Reader &reader = this->readers[pull.instance];
+        const bool isNewGateway = pull.isGateway && reader.link != link;
         const bool isSameIncarnation = pull.receiverIncarnation == this->incarnation;
         reader = { .link = link,
                    .isGateway = pull.isGateway,
@@ -259,6 +264,8 @@
                    .wantsDocument = pull.wantsDocument };
         this->sendView(reader, pull.sentAt, false);
         reader.wantsDocument = false;
+        if (isNewGateway)
+            this->sendRequestLimits(reader);
     }
 
     /// Sends a view with the changes that the reader lacks and records these changes as sent.
@@ -425,6 +432,39 @@
                                 .retryAfter = decision.retryAfter });
     }
 
+    // Limits that upstreams have on the rate of their requests.
+
+    static bool isLimited(const std::pair<const std::string, RequestLimit> &each)
+    {
+        return each.second.inForce().has_value();
+    }
+
+    /// Applies what a gateway learned from an answer, and tells the other gateways of a change.
+    void onRequestLimit(const RequestLimitReport &report)
+    {
+        const TimePoint now = bootNow();
+        if (!this->registry.contains(report.upstream)
+            || !this->requestLimits[report.upstream].onAnswer(observationOf(report, now)))
+            return;
+        logInfo("upstream's request limit changed",
+                { { "upstream", report.upstream },
+                  { "isLimited", report.isLimited },
+                  { "requestsPerSecond", report.requestsPerSecond } });
+        for (const auto &[name, reader] : this->readers) {
+            if (reader.isGateway && now < reader.lastPullAt + kReaderTimeout)
+                reader.link->send(report);
+        }
+    }
+
+    void sendRequestLimits(const Reader &reader)
+    {
+        const TimePoint now = bootNow();
+        for (const auto &[upstream, limit] : this->requestLimits) {
+            if (limit.inForce())
+                reader.link->send(requestLimitReport(upstream, *limit.inForce(), now));
+        }
+    }
+
     // Prompt segments that crash engines.
 
     /// Text with the quarantined segments in the applied state; number 0 when there is none.
@@ -594,6 +634,8 @@
         this->updateQuarantine();
         if (this->registry.tick(now))
             this->pushViews();
+        std::erase_if(this->requestLimits,
+                      [this](const auto &each) { return !this->registry.contains(each.first); });
     }
 
     const NodeSettings settings;
@@ -617,6 +659,7 @@
     TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
     std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
     std::uint64_t permitCount{ 0 };
+    std::map<std::string, RequestLimit> requestLimits; ///< by upstream
     QuarantineControl quarantineControl;
     std::uint64_t segmentCrashCount{ 0 };
 };
--- a/src/slow_start_permits.h
+++ b/src/slow_start_permits.h
@@ -16,12 +16,12 @@
     Milliseconds retryAfter{ 0 }; ///< time after which to ask again, when the permit is refused
 };
 
-/// Issues the permits for one upstream in slow start. A permit allows a gateway to send one
-/// request. The issuer is the only process that grants permits for the upstream, so the rate holds
-/// for any number of gateways, also for gateways that restarted or that don't know of each other.
-/// Within any second the permits in use are at most those granted within a second plus
-/// `kPermitLifetime`; their number is limited to the rate times that span. Deterministic; not
-/// thread safe.
+/// Issues the permits for one upstream that is in slow start or has named a limit. A permit allows
+/// a gateway to send one request. The issuer is the only process that grants permits for the
+/// upstream, so the rate holds for any number of gateways, also for gateways that restarted or that
+/// don't know of each other. Within any second the permits in use are at most those granted within
+/// a second plus `kPermitLifetime`; their number is limited to the rate times that span.
+/// Deterministic; not thread safe.
 class SlowStartPermits
 {
 public:
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -24,6 +24,9 @@
 constexpr Milliseconds kFirstTokenMargin = 200ms;
 /// Cooldown of an upstream after a refusal.
 constexpr Milliseconds kRefusalCooldown = 100ms;
+/// Requests a second that an upstream gets although it takes fewer, or none: only its answers tell
+/// when the limit has ended.
+constexpr double kMinLimitedRate = 0.25;
 constexpr Milliseconds kMinRetryAfter = 100ms;
 constexpr Milliseconds kMaxRetryAfter = 2s;
 /// Cost of one in-flight request at an upstream of a plain service. Small, because plain services
@@ -124,6 +127,20 @@
         upstream.recentRequests.pop_front();
 }
 
+bool UpstreamSelector::onRequestLimit(const std::string &upstream,
+                                      const RequestLimitObservation &answer)
+{
+    const auto found = this->upstreams.find(upstream);
+    return found != this->upstreams.end() && found->second.requestLimit.onAnswer(answer);
+}
+
+std::size_t UpstreamSelector::limitedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->upstreams, [](const auto &each) {
+        return each.second.requestLimit.inForce().has_value();
+    }));
+}
+
 void UpstreamSelector::setPath(const std::string &endpoint, const UpstreamPath &path)
 {
     const auto found = this->idByEndpoint.find(endpoint);
@@ -158,7 +175,7 @@
                                              : this->scorePlain(id, upstream, query, now);
         if (isEngine && !this->startsBeforeDeadline(candidate, query, now))
             continue;
-        const bool needsPermit = UpstreamSelector::needsPermit(upstream, query, now);
+        const bool needsPermit = UpstreamSelector::permitRate(upstream, query, now).has_value();
         const bool canAskForPermit =
                 query.mayNeedPermit && upstream.path.hasLink && now >= upstream.permitRefusedUntil;
         if (needsPermit && !canAskForPermit) {
@@ -223,7 +240,7 @@
                              : 0ms,
         .slowStartRemaining =
                 std::max(0ms, std::chrono::ceil<Milliseconds>(upstream.slowStartUntil - now)),
-        .needsPermit = UpstreamSelector::needsPermit(upstream, query, now)
+        .permitRate = UpstreamSelector::permitRate(upstream, query, now)
     };
     return selection;
 }
@@ -292,15 +309,23 @@
            && (query.exactVersion == 0 || version == query.exactVersion);
 }
 
-/// True while an upstream is in slow start and its service limits the request rate then. An engine
+/// Requests a second to an upstream for which permits are granted: the lower of the limit that the
+/// upstream has named and, in slow start, the limit of its service. Empty without either. An engine
 /// that restarted, as its load notice tells, is in slow start until its announcement says more.
-bool UpstreamSelector::needsPermit(const Upstream &upstream, const SelectionQuery &query,
-                                   TimePoint now)
+std::optional<double> UpstreamSelector::permitRate(const Upstream &upstream,
+                                                   const SelectionQuery &query, TimePoint now)
 {
     const bool hasRestarted =
             upstream.hasNotice && upstream.loadNotice.startedAtMs > upstream.record.startedAtMs;
-    return (hasRestarted || now < upstream.slowStartUntil) && query.plan != nullptr
-           && query.plan->coldRequestsPerSecond > 0;
+    std::optional<double> rate;
+    if ((hasRestarted || now < upstream.slowStartUntil) && query.plan != nullptr
+        && query.plan->coldRequestsPerSecond > 0)
+        rate = query.plan->coldRequestsPerSecond;
+    if (const auto &limit = upstream.requestLimit.inForce()) {
+        const double limitedRate = std::max(*limit->requestsPerSecond, kMinLimitedRate);
+        rate = std::min(rate.value_or(limitedRate), limitedRate);
+    }
+    return rate;
 }
 
 UpstreamSelector::Candidate UpstreamSelector::scoreEngine(const std::string &id, Upstream &upstream,
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "outlier.h"
+#include "request_limit.h"
 #include "serving_plan.h"
 #include "version_deadlines.h"
 
@@ -58,17 +59,18 @@
     /// The request may be executed more than once. If false, the request is never sent to an
     /// upstream that is ejected or in cooldown, not even as a last resort.
     bool mayRunTwice{ true };
-    /// An upstream in slow start may be selected, although a permit is needed to send there.
+    /// An upstream may be selected although a permit is needed to send there.
     bool mayNeedPermit{ true };
 };
 
 /// Why no upstream is selected.
 enum class NoUpstreamReason : std::uint8_t {
     none,
-    unknown,   ///< no known upstream of the service is allowed for the request
-    busy,      ///< no upstream can return the first token within the limit
-    slowStart, ///< all other upstreams are unavailable, and no permit can be had now
-    failing,   ///< no allowed upstream can be tried now, see `UpstreamSelector::choose`
+    unknown, ///< no known upstream of the service is allowed for the request
+    busy,    ///< no upstream can return the first token within the limit
+    /// Upstreams are left that need a permit, and none can be had now; all others are unavailable.
+    slowStart,
+    failing, ///< no allowed upstream can be tried now, see `UpstreamSelector::choose`
 };
 
 /// Name of a reason in log fields and error responses.
@@ -89,9 +91,10 @@
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
-    /// The upstream is in slow start with a limited request rate: the request may be sent only with
-    /// a permit of the upstream's issuer, see `SlowStartPermits`.
-    bool needsPermit{ false };
+    /// Requests a second to which the upstream's issuer limits permits, see `SlowStartPermits`: the
+    /// upstream is in slow start or has named a limit, and the request may be sent only with a
+    /// permit. Empty: no permit is needed.
+    std::optional<double> permitRate;
     NoUpstreamReason problem{ NoUpstreamReason::none }; ///< why no upstream is selected
     /// Delay after which the client may retry, when no upstream is selected.
     Milliseconds retryAfter{ 0 };
@@ -118,6 +121,10 @@
     /// Stores the load notice of an engine.
     void onLoadNotice(const LoadNotice &notice, TimePoint now);
 
+    /// Applies what an answer of an upstream says of the rate of its requests; true when the
+    /// upstream's limit changed.
+    bool onRequestLimit(const std::string &upstream, const RequestLimitObservation &answer);
+
     /// Sets the state of the network path to an engine's machine.
     void setPath(const std::string &endpoint, const UpstreamPath &path);
 
@@ -129,9 +136,10 @@
 
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
-    /// before the request starts, or, in slow start, without a link to the issuer of permits or
-    /// until the retry time of a refused permit. An upstream that is ejected, or in cooldown after
-    /// a refusal, is tried only as a last resort, and only for a request that may run twice.
+    /// before the request starts, or, if a permit is needed, without a link to the issuer of
+    /// permits or until the retry time of a refused permit. An upstream that is ejected, or in
+    /// cooldown after a refusal, is tried only as a last resort, and only for a request that may
+    /// run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
 
     /// A permit for the upstream was refused, or no answer came. The request counts as in flight
@@ -155,6 +163,9 @@
     /// Number of known upstreams.
     std::size_t size() const { return this->upstreams.size(); }
 
+    /// Number of upstreams that limit the rate of their requests.
+    std::size_t limitedCount() const;
+
 private:
     struct SentRequest
     {
@@ -166,6 +177,7 @@
         UpstreamRecord record;
         Endpoint endpoint;
         TimePoint slowStartUntil;
+        RequestLimit requestLimit;
         LoadNotice loadNotice;
         TimePoint noticeReceivedAt;
         bool hasNotice{ false };
@@ -190,7 +202,8 @@
     bool startsBeforeDeadline(const Candidate &candidate, const SelectionQuery &query,
                               TimePoint now) const;
     std::uint64_t reportedVersion(const Upstream &upstream, TimePoint now) const;
-    static bool needsPermit(const Upstream &upstream, const SelectionQuery &query, TimePoint now);
+    static std::optional<double> permitRate(const Upstream &upstream, const SelectionQuery &query,
+                                            TimePoint now);
     std::uint64_t requiredVersion(const SelectionQuery &query, TimePoint now) const;
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
--- a/tests/slow_start_permits_test.cpp
+++ b/tests/slow_start_permits_test.cpp
@@ -99,3 +99,22 @@
         RC_ASSERT(static_cast<double>(peakWithin(1s, uses)) <= rate * 1.5 + 5);
     });
 }
+
+// Guards against gateways that know no limit yet and make the issuer forget permits that still
+// count.
+TEST(SlowStartPermits, PermitsOfAShortWindowCountInALongerOne)
+{
+    SlowStartPermits permits(kStart - kTakeoverTime);
+    EXPECT_TRUE(permits.request(0.5, kStart).isGranted);
+    EXPECT_TRUE(permits.request(14, kStart + 1200ms).isGranted);
+    const PermitDecision refusal = permits.request(0.5, kStart + 1300ms);
+    EXPECT_FALSE(refusal.isGranted);
+    EXPECT_EQ(refusal.retryAfter, 1900ms);
+    EXPECT_TRUE(permits.request(0.5, kStart + 3200ms).isGranted);
+}
+
+TEST(SlowStartPermits, HugeRateIsGranted)
+{
+    SlowStartPermits permits(kStart - kTakeoverTime);
+    EXPECT_TRUE(permits.request(1e300, kStart).isGranted);
+}
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -205,9 +205,9 @@
     cold.coldFor = 3s;
     this->selector.onRecord(cold, kStart);
     SelectionQuery query = this->query();
-    EXPECT_TRUE(this->selector.choose(query, kStart + 1ms).needsPermit);
-    EXPECT_TRUE(this->selector.choose(query, kStart + 2999ms).needsPermit);
-    EXPECT_FALSE(this->selector.choose(query, kStart + 3s).needsPermit);
+    EXPECT_TRUE(this->selector.choose(query, kStart + 1ms).permitRate.has_value());
+    EXPECT_TRUE(this->selector.choose(query, kStart + 2999ms).permitRate.has_value());
+    EXPECT_FALSE(this->selector.choose(query, kStart + 3s).permitRate.has_value());
     query.mayNeedPermit = false;
     const Selection selection = this->selector.choose(query, kStart + 1ms);
     EXPECT_EQ(selection.upstream, "");
@@ -227,7 +227,7 @@
 TEST_F(UpstreamSelectorTest, RestartedEngineNeedsPermitsBeforeItsAnnouncementArrives)
 {
     this->selector.onRecord(this->record(1), kStart);
-    EXPECT_FALSE(this->selector.choose(this->query(), kStart).needsPermit);
+    EXPECT_FALSE(this->selector.choose(this->query(), kStart).permitRate.has_value());
     LoadNotice notice{ .endpoint = endpointOf(1),
                        .startedAtMs = this->record(1).startedAtMs + 5000,
                        .isUsable = true,
@@ -235,12 +235,57 @@
                        .version = 1,
                        .slowdownFactor = 1 };
     this->selector.onLoadNotice(notice, kStart + 1s);
-    EXPECT_TRUE(this->selector.choose(this->query(), kStart + 1s).needsPermit);
+    EXPECT_TRUE(this->selector.choose(this->query(), kStart + 1s).permitRate.has_value());
     UpstreamRecord restarted = this->record(1);
     restarted.startedAtMs = notice.startedAtMs;
     this->selector.onRecord(restarted, kStart + 2s);
     this->selector.onLoadNotice(notice, kStart + 2s);
-    EXPECT_FALSE(this->selector.choose(this->query(), kStart + 2s).needsPermit);
+    EXPECT_FALSE(this->selector.choose(this->query(), kStart + 2s).permitRate.has_value());
+}
+
+TEST_F(UpstreamSelectorTest, LowerOfSlowStartRateAndNamedLimitHolds)
+{
+    UpstreamRecord cold = this->record(1);
+    cold.coldFor = 3s;
+    this->selector.onRecord(cold, kStart);
+    const double coldRate = this->selector.choose(this->query(), kStart + 1ms).permitRate.value();
+    const auto nameLimit = [this](std::optional<double> limit, Milliseconds at) {
+        return this->selector.onRequestLimit("e1", { .requestsPerSecond = limit,
+                                                     .requestSentAt = kStart + at,
+                                                     .answeredAt = kStart + at + 1ms });
+    };
+    EXPECT_TRUE(nameLimit(coldRate + 1, 10ms));
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 20ms).permitRate, coldRate);
+    EXPECT_TRUE(nameLimit(1, 20ms));
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 30ms).permitRate, 1);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 4s).permitRate, 1);
+    EXPECT_EQ(this->selector.limitedCount(), 1U);
+    EXPECT_TRUE(nameLimit(std::nullopt, 4s));
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 5s).permitRate, std::nullopt);
+}
+
+// Guards against an upstream without requests, which could never say that its limit has ended.
+TEST_F(UpstreamSelectorTest, UpstreamThatTakesNoRequestsStillGetsSingleOnes)
+{
+    this->selector.onRecord(this->record(1), kStart);
+    this->selector.onRequestLimit(
+            "e1", { .requestsPerSecond = 0, .requestSentAt = kStart, .answeredAt = kStart });
+    const auto rate = this->selector.choose(this->query(), kStart + 1s).permitRate;
+    ASSERT_TRUE(rate.has_value());
+    EXPECT_GT(*rate, 0);
+    EXPECT_LE(*rate, 1);
+}
+
+// Guards against a restarted engine that is held to the limit of its former instance.
+TEST_F(UpstreamSelectorTest, RestartForgetsTheNamedLimit)
+{
+    this->selector.onRecord(this->record(1), kStart);
+    this->selector.onRequestLimit(
+            "e1", { .requestsPerSecond = 1, .requestSentAt = kStart, .answeredAt = kStart });
+    UpstreamRecord restarted = this->record(1);
+    restarted.startedAtMs += 5000;
+    this->selector.onRecord(restarted, kStart + 1s);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 1s).permitRate, std::nullopt);
 }
 
 // Guards against requests to a crashed engine whose address a new instance has.
