Log a digest of requests whose upstream closed the connection

'attempt failed' now has a digest of caller, method, target and body when the upstream closed the connection.

No functional change.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "piece_relay.h"
 #include "program.h"
 #include "registry_node.h"
+#include "request_digest.h"
 #include "request_lifecycle.h"
 #include "segment_quarantine.h"
 #include "slow_start_permits.h"
@@ -967,14 +968,16 @@
         if (end.outcome == CallOutcome::whole)
             return this->onComplete(exchange);
         const TimePoint now = bootNow();
-        logInfo("attempt failed", { { "request", exchange->metadata.id },
-                                    { "upstream", exchange->upstream },
-                                    { "sent", end.outcome != CallOutcome::unsent },
-                                    { "passedOn", exchange->lifecycle.hasForwarded() },
-                                    { "begun", exchange->lifecycle.hasResponseBegun() },
-                                    { "closedByUpstream", end.isServerClose },
-                                    { "segments", exchange->metadata.promptSegments },
-                                    { "detail", end.detail } });
+        logInfo("attempt failed",
+                { { "request", exchange->metadata.id },
+                  { "upstream", exchange->upstream },
+                  { "sent", end.outcome != CallOutcome::unsent },
+                  { "passedOn", exchange->lifecycle.hasForwarded() },
+                  { "begun", exchange->lifecycle.hasResponseBegun() },
+                  { "closedByUpstream", end.isServerClose },
+                  { "segments", exchange->metadata.promptSegments },
+                  { "requestDigest", end.isServerClose ? digestOf(*exchange) : "" },
+                  { "detail", end.detail } });
         if (end.isServerClose)
             this->onClosedByUpstream(*exchange, now);
         if (end.outcome == CallOutcome::unsent && end.detail == "connection-limit")
@@ -989,6 +992,12 @@
                                 exchange->lifecycle.onAttemptBroken("upstream-broke", now));
     }
 
+    static std::string digestOf(const Exchange &exchange)
+    {
+        const std::string caller = exchange.customer == nullptr ? "" : exchange.customer->name;
+        return requestDigest(caller, exchange.request);
+    }
+
     /// An upstream that closes the connection before the answer has begun may have crashed on the
     /// prompt.
     void onClosedByUpstream(const Exchange &exchange, TimePoint now)
