Add failing tests of a request that crashes upstreams and comes again

Upstreams of the stand-in deployment, services now too, can crash under requests with one body; such a request is sent every 150 ms with the same path, key and body at eight gateways, beside sound ones.

The restart of all registries and gateways moves from the segments' test to the fixture.

--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -129,20 +129,47 @@
         return upstream.frontend != nullptr;
     }
 
-    /// Ends all connections of an engine, and starts it again as a new instance without weights.
-    void crash(Upstream &engine)
+    /// Ends all connections of an upstream, and starts it again as a new instance without weights.
+    void crash(Upstream &upstream)
     {
         this->crashStats.crashes.push_back(bootNow());
-        engine.streams.clear();
-        engine.frontend->stop();
-        engine.pendingLoadVersion.reset();
-        engine.record.version = 0;
-        engine.isDown = true;
-        this->pool.after(this->options.crashDownTime, [this, &engine] {
-            engine.record.id += "'";
-            engine.record.startedAtMs += 1000;
-            engine.record.sequence = 0;
-            engine.isDown = !this->listen(engine);
+        upstream.streams.clear();
+        upstream.frontend->stop();
+        upstream.pendingLoadVersion.reset();
+        upstream.record.version = 0;
+        upstream.isDown = true;
+        this->pool.after(this->options.crashDownTime, [this, &upstream] {
+            upstream.record.id += "'";
+            upstream.record.startedAtMs += 1000;
+            upstream.record.sequence = 0;
+            upstream.isDown = !this->listen(upstream);
+        });
+    }
+
+    bool isCrashing(const HttpRequest &request, const platform::StandinRequest &metadata) const
+    {
+        const std::string segment = this->options.crashingSegment + ":";
+        const bool hasSegment = !this->options.crashingSegment.empty()
+                                && metadata.promptSegments.find(segment) != std::string::npos;
+        return hasSegment
+               || (!this->options.crashingBody.empty()
+                   && request.body == this->options.crashingBody);
+    }
+
+    /// Answers a request at a service, or crashes the service, after the time that it takes.
+    void runPlain(Upstream &service, const std::string &path, const HttpHeaders &headers,
+                  const AbortableReplyPtr &reply, bool isCrashing)
+    {
+        const auto finish = [this, &service, path, headers, reply, isCrashing] {
+            if (isCrashing)
+                return this->crash(service);
+            reply->send(200, "text/plain", path + " done", withRequestLimit(headers, service));
+        };
+        if (this->options.prefillTime == 0ms)
+            return finish();
+        this->pool.after(this->options.prefillTime, [&service, id = service.record.id, finish] {
+            if (!service.isDown && service.record.id == id)
+                finish();
         });
     }
 
@@ -161,9 +188,7 @@
         }
         const TimePoint now = bootNow();
         upstream.stats.arrivals.push_back(now);
-        const bool isCrashing = !this->options.crashingSegment.empty()
-                                && metadata.promptSegments.find(this->options.crashingSegment + ":")
-                                           != std::string::npos;
+        const bool isCrashing = this->isCrashing(request, metadata);
         if (isCrashing)
             this->crashStats.arrivals.push_back(now);
         if (upstream.streams.size() >= kSlotsPerUpstream || upstream.pendingLoadVersion)
@@ -173,8 +198,7 @@
         ++upstream.stats.runsByRequestId[metadata.id];
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
-            return reply->send(200, "text/plain", request.path + " done",
-                               withRequestLimit(headers, upstream));
+            return this->runPlain(upstream, request.path, headers, reply, isCrashing);
         upstream.streams.push_back(
                 { .reply = reply,
                   .headers = headers,
@@ -439,8 +463,10 @@
             if (!engine->isDown)
                 impl->announce(*engine);
         }
-        for (const auto &service : impl->services)
-            impl->announce(*service);
+        for (const auto &service : impl->services) {
+            if (!service->isDown)
+                impl->announce(*service);
+        }
     });
     return areAllBound;
 }
@@ -548,9 +574,10 @@
 
 Deployment::Response Deployment::sendRequest(std::uint32_t gateway, const std::string &path,
                                              const std::string &id, const std::string &key,
-                                             bool isPost, const std::vector<std::string> &segments)
+                                             bool isPost, const std::vector<std::string> &segments,
+                                             const std::string &postBody)
 {
-    const std::string body = isPost ? "{\"a\":1}" : "";
+    const std::string body = isPost ? postBody : "";
     std::string head = std::string(isPost ? "POST " : "GET ") + path + " HTTP/1.1\r\n";
     for (const auto &[name, value] :
          platform::standinClientHeaders(kHost, id, key, kRequestTimeout, 100, segments))
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -34,10 +34,14 @@
     Milliseconds stepInterval{ 10 }; ///< interval at which an engine emits one event per stream
     /// Limit in the plan on the request rate to an upstream in slow start; 0: no limit.
     double coldRequestsPerSecond{ 0 };
-    Milliseconds prefillTime{ 0 }; ///< time from the arrival at an engine to the first event
+    /// Time from the arrival at an engine to the first event, or at a service to the answer.
+    Milliseconds prefillTime{ 0 };
     /// An engine crashes when it begins an answer to a prompt with this segment; empty for none.
     std::string crashingSegment;
-    Milliseconds crashDownTime{ 500 }; ///< time from an engine's crash to its restart
+    /// An engine or service crashes when it begins an answer to a request with this body; empty for
+    /// none.
+    std::string crashingBody;
+    Milliseconds crashDownTime{ 500 }; ///< time from a crash to the restart
     /// The engines' first answers are one event each, which has no end.
     std::uint32_t endlessAnswers{ 0 };
 };
@@ -59,11 +63,14 @@
     std::vector<TimePoint> arrivals;
 };
 
-/// What the engines saw of prompts with the crashing segment.
+/// Body of a client's POST request.
+inline constexpr const char *kDefaultBody = "{\"a\":1}";
+
+/// What the engines and services saw of requests that crash them.
 struct CrashStats
 {
-    std::vector<TimePoint> arrivals; ///< of requests with the segment, at any engine
-    std::vector<TimePoint> crashes;  ///< of engines
+    std::vector<TimePoint> arrivals; ///< of crashing requests, at any upstream
+    std::vector<TimePoint> crashes;
 };
 
 /// Simulated environment, called stand-in deployment in log lines. Simulates, on loopback
@@ -115,7 +122,8 @@
     /// alone. Returns an incomplete Response after a timeout.
     Response sendRequest(std::uint32_t gateway, const std::string &path, const std::string &id,
                          const std::string &key, bool isPost = true,
-                         const std::vector<std::string> &segments = {});
+                         const std::vector<std::string> &segments = {},
+                         const std::string &postBody = kDefaultBody);
 
     /// Counters of an engine or a service.
     UpstreamStats engineStats(std::uint32_t engine);
--- a/tests/crashing_segment_test.cpp
+++ b/tests/crashing_segment_test.cpp
@@ -124,20 +124,7 @@
     this->sendCrashingRequests(3s);
     std::this_thread::sleep_for(kContactTime);
     const std::size_t arrivalsBefore = this->deployment->crashStats().arrivals.size();
-    for (std::uint32_t i = 0; i < this->registries.size(); ++i) {
-        this->registries[i].reset();
-        auto settings =
-                this->deployment->registrySettings(i, this->folder + "/" + std::to_string(i));
-        settings.isFirstStart = false;
-        this->registries[i] = std::make_unique<TestRegistry>(settings);
-    }
-    std::string problem;
-    for (std::uint32_t i = 0; i < kGatewayCount; ++i) {
-        this->gateways[i]->stop();
-        this->gateways[i] = std::make_unique<Gateway>(this->deployment->gatewaySettings(i),
-                                                      platform::gatewayProtocol());
-        ASSERT_TRUE(this->gateways[i]->start(problem)) << problem;
-    }
+    this->restartRegistriesAndGateways();
     ASSERT_TRUE(this->waitUntilReady());
     this->sendCrashingRequests(3s);
     EXPECT_LE(this->deployment->crashStats().arrivals.size() - arrivalsBefore, kMaxLateArrivals);
--- a/tests/deployment_fixture.h
+++ b/tests/deployment_fixture.h
@@ -195,6 +195,25 @@
         return answers;
     }
 
+    /// Replaces each registry, with its data, and each gateway by a new process of its own.
+    void restartRegistriesAndGateways()
+    {
+        for (std::uint32_t i = 0; i < this->registries.size(); ++i) {
+            this->registries[i].reset();
+            auto settings =
+                    this->deployment->registrySettings(i, this->folder + "/" + std::to_string(i));
+            settings.isFirstStart = false;
+            this->registries[i] = std::make_unique<TestRegistry>(settings);
+        }
+        std::string problem;
+        for (std::uint32_t i = 0; i < this->gateways.size(); ++i) {
+            this->gateways[i]->stop();
+            this->gateways[i] = std::make_unique<Gateway>(this->deployment->gatewaySettings(i),
+                                                          platform::gatewayProtocol());
+            ASSERT_TRUE(this->gateways[i]->start(problem)) << problem;
+        }
+    }
+
     std::string folder;
     std::unique_ptr<Deployment> deployment;
     std::vector<std::unique_ptr<TestRegistry>> registries;
