Quarantine requests that crash upstreams each time they come again

Cause: only segments of prompts were suspects. A status-check has none, so its crashes were never reported.

A request, as a digest of caller, method, target and body, is now one more kind of suspect of CrashEvidence and of the quarantine. It is blamed before its segments unless the prompts of its attempts differ; the crash under a retry counts by itself; a whole answer clears it. Nothing is hashed while no request is suspected.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -1,10 +1,27 @@
 #include "crash_evidence.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 namespace egret {
 
+namespace {
+
+constexpr std::string_view kRequestPrefix = "request:";
+
+} // namespace
+
+std::string requestSuspect(const std::string &digest)
+{
+    return std::string(kRequestPrefix) + digest;
+}
+
+bool isRequestSuspect(const std::string &suspect)
+{
+    return suspect.starts_with(kRequestPrefix);
+}
+
 void CrashEvidence::onCrash(const SegmentCrash &crash, TimePoint now)
 {
     while (!this->reports.empty()
@@ -30,7 +47,10 @@
         const auto evidenceBySegment = this->collect(explainedUpstreams, now);
         const auto strength = [](const auto &each) {
             const Evidence &evidence = each.second;
-            return std::tuple(!evidence.isEstablished, evidence.crashCount, evidence.depth);
+            const bool isSeveralRequests =
+                    isRequestSuspect(each.first) && evidence.prompts.size() > 1;
+            return std::tuple(!evidence.isEstablished, evidence.crashCount, !isSeveralRequests,
+                              evidence.depth);
         };
         const std::string *strongest = nullptr;
         const Evidence *strongestEvidence = nullptr;
@@ -89,7 +109,9 @@
         for (std::size_t position = 0; position < crash.segments.size(); ++position) {
             const std::string &segment = crash.segments[position];
             Evidence &evidence = evidenceBySegment[segment];
-            evidence.requests.insert(crash.request);
+            const bool isNewRequest = evidence.requests.insert(crash.request).second;
+            const bool isRetry = isRequestSuspect(segment) && !isNewRequest;
+            evidence.prompts.insert(crash.prompt);
             evidence.depth = std::max(evidence.depth, position);
             evidence.isEstablished = evidence.isEstablished
                                      || std::ranges::find(crash.establishedSegments, segment)
@@ -98,7 +120,7 @@
             const bool isSimultaneous =
                     evidence.crashCount > 0
                     && report.receivedAt < evidence.countedAt + this->options.simultaneousWindow;
-            if (isNewUpstream && !isSimultaneous) {
+            if (isNewUpstream && (isRetry || !isSimultaneous)) {
                 ++evidence.crashCount;
                 evidence.countedAt = report.receivedAt;
             }
--- a/src/crash_evidence.h
+++ b/src/crash_evidence.h
@@ -11,6 +11,11 @@
 
 namespace egret {
 
+/// A request, known by its `requestDigest`, as a suspect beside segments of prompts. No segment has
+/// the same name, because segments' ids contain no colon. Thread safe.
+std::string requestSuspect(const std::string &digest);
+bool isRequestSuspect(const std::string &suspect);
+
 struct CrashEvidenceOptions
 {
     /// Crashes under requests with a segment, without an answer in between, after which the
@@ -21,14 +26,16 @@
     /// Different requests among them, since a sound request may meet several failing upstreams.
     std::size_t requestThreshold{ 2 };
     /// Crashes of several upstreams within this time count as one, because they probably have one
-    /// cause, such as the loss of an availability zone.
+    /// cause, such as the loss of an availability zone. Against a request, the crash of the
+    /// upstream to which the request was sent next counts by itself.
     Milliseconds simultaneousWindow{ 100 };
     Milliseconds lifetime{ 60s }; ///< reports are forgotten after this time
     std::size_t maxReports{ 256 };
 };
 
-/// Finds prompt segments that crash engines, from the reports of all gateways. Each report names
-/// a request whose engine closed the connection before the answer had begun. Sound requests that
+/// Finds prompt segments, and requests that come again, that crash upstreams, from the reports of
+/// all gateways. `segments` below include such requests, as `requestSuspect`. Each report names a
+/// request whose upstream closed the connection before the answer had begun. Sound requests that
 /// were in progress at a crashing engine are reported too, but answers with their segments begin
 /// elsewhere, which clears these segments. Deterministic; not thread safe.
 class CrashEvidence
@@ -44,7 +51,9 @@
 
     /// Returns the segments that explain the crashes, the strongest evidence first. A segment that
     /// occurs only in crashes that a stronger one explains is not among them. Among segments that
-    /// always occur together, the last in the prompts is blamed: fewer other requests have it.
+    /// always occur together, the last in the prompts is blamed: fewer other requests have it. A
+    /// request is blamed before its segments, unless its prompts differ: then it is several
+    /// requests with one body.
     std::vector<std::string> crashingSegments(TimePoint now) const;
 
     /// Returns the segments that `crashing`, a result of `crashingSegments`, acquits: each of their
@@ -63,6 +72,7 @@
     {
         std::set<std::string> upstreams;
         std::set<std::string> requests;
+        std::set<std::string> prompts;
         std::size_t crashCount{ 0 }; ///< crashes, simultaneous ones counted once
         TimePoint countedAt;         ///< time of the crash that was counted last
         std::size_t depth{ 0 };      ///< largest position in a prompt
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "buffer_budget.h"
 #include "clock.h"
+#include "crash_evidence.h"
 #include "event_stream_merger.h"
 #include "gateway_retry_budgets.h"
 #include "http_frontend.h"
@@ -54,10 +55,11 @@
 /// Retry-After value in the answer to a request that did not run, unless `UpstreamSelector`
 /// returned a time.
 constexpr Milliseconds kDefaultRetryAfter = 250ms;
-/// Retry-After value in the answer to a request with a quarantined prompt segment. A quarantine
+/// Retry-After value in the answer to a quarantined request or prompt segment. A quarantine
 /// that turns out to be wrong ends sooner; any other lasts for minutes.
 constexpr Milliseconds kQuarantineRetryAfter = 2s;
 constexpr const char *kQuarantinedSegment = "quarantined-segment";
+constexpr const char *kQuarantinedRequest = "quarantined-request";
 /// An upstream in another region accepts a connection within a few milliseconds. Retransmission
 /// of a lost SYN would take a second; an attempt at another upstream takes less.
 constexpr Milliseconds kConnectTimeout = 300ms;
@@ -121,7 +123,8 @@
     const PlanService *service{ nullptr };
     RequestLifecycle lifecycle;
     TimePoint arrivedAt;
-    bool isProbe{ false };         ///< admitted to test a quarantined segment of its prompt
+    bool isProbe{ false };         ///< admitted to test whether it, or a segment, still crashes
+    std::string suspect;           ///< `requestSuspect` of the request; empty: not computed yet
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
 
     // The current attempt.
@@ -498,12 +501,18 @@
             return this->refuse(metadata, *reply, kUnauthorized, "unknown-key");
         if (metadata.id.empty())
             return this->refuse(metadata, *reply, kBadRequest, "no-identity");
-        const SegmentDecision decision = this->quarantine.decide(metadata.promptSegments, now);
+        std::vector<std::string> suspects = metadata.promptSegments;
+        std::string ownSuspect;
+        if (this->quarantine.tracksRequests(now))
+            suspects.push_back(ownSuspect = suspectOf(customer, request));
+        const SegmentDecision decision = this->quarantine.decide(suspects, now);
         if (decision.mustAskForProbe)
             this->hub.send(this->viewReader.view().confirmingRegistry(), Channel::control,
                            SegmentProbeRequest{ .segment = decision.segment });
         if (decision.isRefused)
-            return this->refuse(metadata, *reply, kUnavailable, kQuarantinedSegment,
+            return this->refuse(metadata, *reply, kUnavailable,
+                                isRequestSuspect(decision.segment) ? kQuarantinedRequest
+                                                                   : kQuarantinedSegment,
                                 kQuarantineRetryAfter);
         if (decision.isProbe)
             logInfo("quarantined segment is probed",
@@ -519,6 +528,7 @@
                                    .deadline = now + timeLimit }),
                 std::move(metadata));
         exchange->isProbe = decision.isProbe;
+        exchange->suspect = std::move(ownSuspect);
         exchange->earlierWait = estimateEarlierWait(route->timeout, timeLimit);
         exchange->request = std::move(request);
         exchange->reply = reply;
@@ -647,17 +657,43 @@
             this->sendChosen(exchange, selection, isResume, now);
     }
 
-    /// False when a segment of the request's prompt is quarantined. A probe has one attempt.
-    bool mayAttempt(const Exchange &exchange) const
+    /// False when the request or a segment of its prompt is quarantined. A probe has one attempt.
+    bool mayAttempt(Exchange &exchange) const
     {
         return (exchange.isProbe && exchange.lifecycle.attempts() == 0)
-               || !this->quarantine.isQuarantined(exchange.metadata.promptSegments);
+               || !this->quarantine.isQuarantined(this->trackedSuspects(exchange));
+    }
+
+    static std::string suspectOf(const PlanCustomer *customer, const HttpRequest &request)
+    {
+        return requestSuspect(requestDigest(customer == nullptr ? "" : customer->name, request));
+    }
+
+    /// The segments of the request's prompt and, while requests are tracked, the request itself.
+    std::vector<std::string> trackedSuspects(Exchange &exchange) const
+    {
+        return this->quarantine.tracksRequests(bootNow()) ? suspectsOf(exchange)
+                                                          : exchange.metadata.promptSegments;
+    }
+
+    /// The segments of the request's prompt and then the request itself, because fewer others share
+    /// it than any of the segments.
+    static std::vector<std::string> suspectsOf(Exchange &exchange)
+    {
+        if (exchange.suspect.empty())
+            exchange.suspect = suspectOf(exchange.customer, exchange.request);
+        std::vector<std::string> suspects = exchange.metadata.promptSegments;
+        suspects.push_back(exchange.suspect);
+        return suspects;
     }
 
     void giveUpQuarantined(const ExchangePtr &exchange)
     {
         exchange->retryAfter = kQuarantineRetryAfter;
-        this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(kQuarantinedSegment));
+        const bool isRequest = this->quarantine.isQuarantined({ suspectsOf(*exchange).back() });
+        this->applyDecision(exchange,
+                            exchange->lifecycle.onNoUpstream(isRequest ? kQuarantinedRequest
+                                                                       : kQuarantinedSegment));
     }
 
     /// Sends the request to a chosen upstream whose permit, if it needs one, has been granted.
@@ -915,8 +951,7 @@
         if (events.empty() || excessive == exchange)
             return;
         if (!exchange->lifecycle.hasResponseBegun())
-            this->reportBegun(
-                    this->quarantine.onBegun(exchange->metadata.promptSegments, bootNow()));
+            this->onAnswerBegun(*exchange);
         this->startStream(*exchange);
         exchange->reply->write(events);
         if (exchange->reply->pendingBytes() > kMaxUnsentBytes) {
@@ -926,6 +961,13 @@
         }
     }
 
+    /// An upstream that has begun a stream, or has completed another answer, did not crash on the
+    /// request.
+    void onAnswerBegun(Exchange &exchange)
+    {
+        this->reportBegun(this->quarantine.onBegun(this->trackedSuspects(exchange), bootNow()));
+    }
+
     /// Ends an attempt whose answer takes too much memory.
     void dropAnswer(const ExchangePtr &exchange)
     {
@@ -976,7 +1018,7 @@
                   { "begun", exchange->lifecycle.hasResponseBegun() },
                   { "closedByUpstream", end.isServerClose },
                   { "segments", exchange->metadata.promptSegments },
-                  { "requestDigest", end.isServerClose ? digestOf(*exchange) : "" },
+                  { "requestDigest", end.isServerClose ? suspectsOf(*exchange).back() : "" },
                   { "detail", end.detail } });
         if (end.isServerClose)
             this->onClosedByUpstream(*exchange, now);
@@ -992,15 +1034,9 @@
                                 exchange->lifecycle.onAttemptBroken("upstream-broke", now));
     }
 
-    static std::string digestOf(const Exchange &exchange)
-    {
-        const std::string caller = exchange.customer == nullptr ? "" : exchange.customer->name;
-        return requestDigest(caller, exchange.request);
-    }
-
     /// An upstream that closes the connection before the answer has begun may have crashed on the
-    /// prompt.
-    void onClosedByUpstream(const Exchange &exchange, TimePoint now)
+    /// request.
+    void onClosedByUpstream(Exchange &exchange, TimePoint now)
     {
         if (exchange.lifecycle.hasResponseBegun()) {
             ++this->counters.closedAfterBegin;
@@ -1008,7 +1044,7 @@
         }
         ++this->counters.closedBeforeBegin;
         const SegmentCrash report = this->quarantine.onCrash(
-                exchange.upstream, exchange.metadata.id, exchange.metadata.promptSegments, now);
+                exchange.upstream, exchange.metadata.id, suspectsOf(exchange), now);
         if (!report.segments.empty())
             this->viewReader.sendToAll(report);
     }
@@ -1039,6 +1075,7 @@
             this->startStream(*exchange);
             exchange->reply->finish();
         } else {
+            this->onAnswerBegun(*exchange);
             exchange->firstByteAt = now;
             exchange->reply->send(status, "", exchange->body, forwardedHeaders(exchange->head));
         }
--- a/src/segment_quarantine.cpp
+++ b/src/segment_quarantine.cpp
@@ -1,5 +1,8 @@
 #include "segment_quarantine.h"
 
+#include "crash_evidence.h"
+#include "digest.h"
+
 #include <algorithm>
 #include <charconv>
 #include <iterator>
@@ -21,6 +24,7 @@
 constexpr std::size_t kMaxEstablishedSegments = 8192;
 /// Time for which a reported segment is remembered: lifetime of the registries' evidence.
 constexpr Milliseconds kReportLifetime = 60s;
+constexpr std::size_t kPromptDigestDigits = 16;
 constexpr Milliseconds kCleanUpPeriod = 5s;
 constexpr Milliseconds kProbeAskInterval = 1s;
 /// A granted probe that no request has used for this time is void.
@@ -70,14 +74,20 @@
                                         const std::vector<std::string> &segments, TimePoint now)
 {
     SegmentCrash report{ .upstream = upstream, .request = request };
+    DigestStream prompt;
     for (const std::string &segment : segments) {
+        if (!isRequestSuspect(segment))
+            prompt.update(segment + ",");
         if (this->hasBegunSince(segment, now - kRecentBegin))
             continue;
         report.segments.push_back(segment);
         if (this->hasBegunSince(segment, now - kEstablishedLifetime))
             report.establishedSegments.push_back(segment);
         this->reportedAt[segment] = now;
+        if (isRequestSuspect(segment))
+            this->requestReportedUntil = now + kReportLifetime;
     }
+    report.prompt = prompt.finish().substr(0, kPromptDigestDigits);
     return report;
 }
 
@@ -87,6 +97,7 @@
     const auto previous = std::exchange(this->quarantined, {});
     for (const QuarantinedSegment &each : segments)
         this->quarantined.insert(each.segment);
+    this->quarantinesRequests = std::ranges::any_of(this->quarantined, isRequestSuspect);
     const auto isReleased = [this](const auto &each) {
         return !this->quarantined.contains(each.first);
     };
--- a/src/segment_quarantine.h
+++ b/src/segment_quarantine.h
@@ -37,8 +37,8 @@
 };
 
 /// Refuses requests whose prompts have a quarantined segment, and tells which segments to report to
-/// the registries, which decide for all gateways (see CrashEvidence). Deterministic; not thread
-/// safe.
+/// the registries, which decide for all gateways. `segments` include requests, as `requestSuspect`
+/// (see CrashEvidence). Deterministic; not thread safe.
 class SegmentQuarantine
 {
 public:
@@ -66,6 +66,14 @@
     /// The leading registry allows this gateway to send one request with the segment.
     void onProbeGranted(const std::string &segment, TimePoint now);
 
+    /// True while the request suspects of requests must be passed to `onBegun`, `decide` and
+    /// `isQuarantined`: one is quarantined, or this gateway has reported one lately. Otherwise the
+    /// digests of requests needn't be computed.
+    bool tracksRequests(TimePoint now) const
+    {
+        return this->quarantinesRequests || now < this->requestReportedUntil;
+    }
+
     /// Number of quarantined segments.
     std::size_t size() const { return this->quarantined.size(); }
 
@@ -74,6 +82,8 @@
     bool hasBegunSince(const std::string &segment, TimePoint since) const;
 
     std::set<std::string> quarantined;
+    bool quarantinesRequests{ false }; ///< `quarantined` has a request suspect
+    TimePoint requestReportedUntil;    ///< end of the last report's lifetime, of request suspects
     std::map<std::string, TimePoint> begunAt;        ///< last begin of an answer, by segment
     std::map<std::string, TimePoint> reportedAt;     ///< last report of a crash, by segment
     std::map<std::string, TimePoint> probeAskedAt;   ///< by quarantined segment
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -176,3 +176,66 @@
         evidence.clear("topic" + std::to_string(i));
     RC_ASSERT(evidence.crashingSegments(now) == Segments{ "bad" });
 }
+
+TEST_F(CrashEvidenceTest, BlamesARequestThatComesAgainBeforeItsSegments)
+{
+    const std::string request = requestSuspect("d1");
+    for (int i = 0; i < 3; ++i)
+        this->crash({ "shared", "topic", request });
+    EXPECT_EQ(this->crashing(), Segments{ request });
+}
+
+// Guards against blame on all requests with one body when a segment of some of them crashes
+// engines.
+TEST_F(CrashEvidenceTest, BlamesTheSegmentWhenRequestsWithOneBodyDiffer)
+{
+    const std::string request = requestSuspect("d1");
+    for (int i = 0; i < 3; ++i) {
+        this->now += 1s;
+        this->evidence.onCrash({ .upstream = "e" + std::to_string(i),
+                                 .request = "r" + std::to_string(i),
+                                 .segments = { "bad", request },
+                                 .prompt = "p" + std::to_string(i) },
+                               this->now);
+    }
+    EXPECT_EQ(this->crashing(), Segments{ "bad" });
+}
+
+// Guards against blame on sound requests that are lost beside a crashing one and come again.
+TEST_F(CrashEvidenceTest, BlamesNoRequestThatWasLostBesideAndCameAgain)
+{
+    const std::string crashing = requestSuspect("bad");
+    for (int i = 0; i < 5; ++i) {
+        this->crash({ crashing });
+        if (i > 0)
+            this->alsoLost({ requestSuspect("sound") });
+    }
+    EXPECT_EQ(this->crashing(), Segments{ crashing });
+}
+
+// Guards against a retry of the gateway that counts as the same crash because it follows at once.
+TEST_F(CrashEvidenceTest, CrashUnderTheRetryOfARequestCounts)
+{
+    const std::string request = requestSuspect("d1");
+    const auto crashAt = [&](const std::string &upstream, const std::string &attempt,
+                             Milliseconds at) {
+        this->evidence.onCrash(
+                { .upstream = upstream, .request = attempt, .segments = { request } }, kStart + at);
+    };
+    crashAt("e1", "a", 0ms);
+    crashAt("e2", "a", 50ms);
+    crashAt("e3", "b", 200ms);
+    EXPECT_EQ(this->evidence.crashingSegments(kStart + 300ms), Segments{ request });
+}
+
+// Guards against blame on sound requests when a zone is lost.
+TEST_F(CrashEvidenceTest, SimultaneousCrashesUnderDifferentAttemptsCountOnce)
+{
+    const std::string request = requestSuspect("d1");
+    for (int i = 0; i < 5; ++i)
+        this->evidence.onCrash({ .upstream = "e" + std::to_string(i),
+                                 .request = "a" + std::to_string(i),
+                                 .segments = { request } },
+                               kStart + 10ms * i);
+    EXPECT_TRUE(this->evidence.crashingSegments(kStart + 100ms).empty());
+}
--- a/tests/segment_quarantine_test.cpp
+++ b/tests/segment_quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "crash_evidence.h"
 #include "segment_quarantine.h"
 
 #include <gtest/gtest.h>
@@ -95,3 +96,40 @@
     EXPECT_FALSE(quarantine.decide({ "bad", "worse" }, kStart).isProbe);
     EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).isProbe);
 }
+
+TEST(SegmentQuarantine, TracksRequestsOnlyWhileOneIsReportedOrQuarantined)
+{
+    SegmentQuarantine quarantine;
+    const std::string request = requestSuspect("d1");
+    EXPECT_FALSE(quarantine.tracksRequests(kStart));
+    quarantine.onCrash("e1", "r1", { "segment" }, kStart);
+    EXPECT_FALSE(quarantine.tracksRequests(kStart));
+    quarantine.onCrash("e1", "r1", { "segment", request }, kStart);
+    EXPECT_TRUE(quarantine.tracksRequests(kStart + 59s));
+    EXPECT_FALSE(quarantine.tracksRequests(kStart + 61s));
+    quarantine.setQuarantined(quarantined({ request }), kStart + 61s);
+    EXPECT_TRUE(quarantine.tracksRequests(kStart + 600s));
+    EXPECT_TRUE(quarantine.decide({ request }, kStart + 600s).isRefused);
+    EXPECT_FALSE(quarantine.decide({ requestSuspect("d2") }, kStart + 600s).isRefused);
+    quarantine.setQuarantined({}, kStart + 600s);
+    EXPECT_FALSE(quarantine.tracksRequests(kStart + 600s));
+}
+
+// Guards against a client that names a segment like another's request to get it blocked.
+TEST(SegmentQuarantine, RequestSuspectIsNoSegmentId)
+{
+    EXPECT_NE(requestSuspect("d1").find(':'), std::string::npos);
+    EXPECT_TRUE(isRequestSuspect(requestSuspect("d1")));
+    EXPECT_FALSE(isRequestSuspect("d1"));
+}
+
+TEST(SegmentQuarantine, ReportsDifferInThePromptOnly)
+{
+    SegmentQuarantine quarantine;
+    const std::string request = requestSuspect("d1");
+    const auto promptOf = [&](const Segments &segments) {
+        return quarantine.onCrash("e1", "r1", segments, kStart).prompt;
+    };
+    EXPECT_EQ(promptOf({ "a", "b", request }), promptOf({ "a", "b", requestSuspect("d2") }));
+    EXPECT_NE(promptOf({ "a", "b", request }), promptOf({ "a", "c", request }));
+}
