Use the whole of a low permit rate

With fewer than ten permits in it, the window is now as long as a whole number of permits takes. WholeRateIsUsed failed before (35 of 40 at 1 a second). In RequestLimitFleet at least 95 of 100 requests are served when half of the engines take one request a second each.

--- a/src/slow_start_permits.cpp
+++ b/src/slow_start_permits.cpp
@@ -7,11 +7,14 @@
 
 namespace {
 
-/// Permits that are kept are bounded, for a rate that no upstream reaches.
-constexpr double kMaxPermitsInWindow = 1e5;
+/// Higher rates count as this one, in permits a second, which no upstream reaches.
+constexpr double kMaxPermitRate = 1e5;
 /// Span over which the permits are limited. An upstream must not get more than its rate within one
 /// second; a permit may be used up to `kPermitLifetime` after its grant.
 constexpr Milliseconds kPermitWindow = 1s + kPermitLifetime;
+/// With fewer permits the window is lengthened until it holds a whole number of them. Otherwise the
+/// rest, up to a whole permit, would be lost in each window.
+constexpr std::size_t kMinPermitsInWindow = 10;
 /// Time for which permits are kept at least, since gateways may name different rates, and thereby
 /// different windows, while a limit changes.
 constexpr Milliseconds kPermitRetention = 4s;
@@ -29,12 +32,15 @@
 {
     if (now < this->grantsFrom)
         return { .retryAfter = std::chrono::ceil<Milliseconds>(this->grantsFrom - now) };
-    // A rate below one request per window lengthens the window.
-    const std::chrono::duration<double> interval(1 / requestsPerSecond);
-    const auto window =
-            std::max<Duration>(kPermitWindow, std::chrono::duration_cast<Duration>(interval));
-    const auto limit = static_cast<std::size_t>(
-            std::clamp(std::floor(window / interval), 1.0, kMaxPermitsInWindow));
+    const double rate = std::min(requestsPerSecond, kMaxPermitRate);
+    const double permitsInWindow = rate * std::chrono::duration<double>(kPermitWindow).count();
+    Duration window = kPermitWindow;
+    auto limit = static_cast<std::size_t>(permitsInWindow);
+    if (limit < kMinPermitsInWindow) {
+        limit = static_cast<std::size_t>(std::ceil(permitsInWindow));
+        window = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(static_cast<double>(limit) / rate));
+    }
     const auto retention = std::max<Duration>(window, kPermitRetention);
     while (!this->grantedAt.empty() && this->grantedAt.front() + retention <= now)
         this->grantedAt.pop_front();
--- a/tests/request_limit_fleet_test.cpp
+++ b/tests/request_limit_fleet_test.cpp
@@ -79,6 +79,15 @@
     this->expectKeepsToLimit(this->deployment->serviceStats(0));
 }
 
+// Guards against requests that are lost to asking limited engines while the others have room.
+TEST_F(RequestLimitFleet, OtherEnginesTakeTheRestWhenHalfAreLimited)
+{
+    this->setLimits({ "1" });
+    this->deployment->setEngineRequestLimit(1, { "1" });
+    this->deployment->setEngineRequestLimit(2, { "1" });
+    expectServed(this->sendRequests(kStreamPath, 6s));
+}
+
 // Guards against processes that forget a limit on a restart and allow the rate once more.
 TEST_F(RequestLimitFleet, RestartedGatewaysAndStagersKeepToTheLimit)
 {
--- a/tests/slow_start_permits_test.cpp
+++ b/tests/slow_start_permits_test.cpp
@@ -118,3 +118,21 @@
     SlowStartPermits permits(kStart - kTakeoverTime);
     EXPECT_TRUE(permits.request(1e300, kStart).isGranted);
 }
+
+// Guards against low rates of which a part is lost because a window holds no whole number of
+// permits.
+TEST(SlowStartPermits, WholeRateIsUsed)
+{
+    for (const double rate : { 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 7.5, 36.0 }) {
+        SlowStartPermits permits(kStart - kTakeoverTime);
+        constexpr Seconds duration{ 40 };
+        std::vector<TimePoint> grants;
+        for (TimePoint now = kStart; now < kStart + duration; now += 5ms) {
+            if (permits.request(rate, now).isGranted)
+                grants.push_back(now);
+        }
+        EXPECT_GE(grants.size(), 0.95 * rate * static_cast<double>(duration.count())) << rate;
+        EXPECT_LE(peakWithin(1s, grants), 1.5 * rate + 5) << rate;
+        EXPECT_LE(peakWithin(4s, grants), 4 * 1.5 * rate + 5) << rate;
+    }
+}
