--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -58,6 +58,7 @@
             std::this_thread::sleep_for(150ms);
         }
         std::vector<int> statuses;
+        statuses.reserve(requests.size());
         for (auto &request : requests)
             statuses.push_back(request.get());
         return statuses;
