Send requests to weights about to expire only after a round trip

A request to i-1bf3cb3914 that is sent at 25.307 s has its first event after 181 ms; the next, sent at 25.352 s by the same gateway of the same zone, reaches the engine at 26.128 s: it waits behind pieces on the machine's link of 7.3 Mbit/s. Heartbeats come every 500 ms and don't show this in time.

Within 2 s of the deadline a request to old weights now needs a permit from the stager beside the engine, at any rate.

Evidence: OldWeightsAreUsedShortlyBeforeTheirDeadlineOnlyAfterARoundTrip failed before.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -155,7 +155,7 @@
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
-    std::uint64_t limitedSends{ 0 };   ///< requests sent to upstreams that have named a limit
+    std::uint64_t limitedSends{ 0 };   ///< other requests sent with a permit
     std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
     std::uint64_t permitsRefused{ 0 }; ///< permit requests that were refused or not answered
     // Attempts whose connection the upstream closed, before and after the first event.
--- a/src/slow_start_permits.cpp
+++ b/src/slow_start_permits.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Higher rates count as this one, in permits a second, which no upstream reaches.
-constexpr double kMaxPermitRate = 1e5;
 /// Span over which the permits are limited. An upstream must not get more than its rate within one
 /// second; a permit may be used up to `kPermitLifetime` after its grant.
 constexpr Milliseconds kPermitWindow = 1s + kPermitLifetime;
--- a/src/slow_start_permits.h
+++ b/src/slow_start_permits.h
@@ -9,6 +9,9 @@
 /// Time within which a gateway must use a permit, counted from its request for the permit.
 inline constexpr Milliseconds kPermitLifetime{ 150 };
 
+/// Rate of permits, in requests a second, that no upstream reaches. Higher rates count as this one.
+inline constexpr double kMaxPermitRate = 1e5;
+
 /// Decision on a request for a permit.
 struct PermitDecision
 {
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -1,6 +1,7 @@
 #include "upstream_selector.h"
 
 #include "engine_model.h"
+#include "slow_start_permits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,6 +23,9 @@
 /// Margin for errors of the predicted time to the first token, applied when the weights of an
 /// engine are about to expire.
 constexpr Milliseconds kFirstTokenMargin = 200ms;
+/// Delay of a request on a congested path that is taken into account when the weights of an engine
+/// are about to expire: pieces of newer weights fill the engine's link when the origin returns.
+constexpr Milliseconds kMaxPathDelay = 2s;
 /// Cooldown of an upstream after a refusal.
 constexpr Milliseconds kRefusalCooldown = 100ms;
 /// Requests a second that an upstream gets although it takes fewer, or none: only its answers tell
@@ -175,7 +179,7 @@
                                              : this->scorePlain(id, upstream, query, now);
         if (isEngine && !this->startsBeforeDeadline(candidate, query, now))
             continue;
-        const bool needsPermit = UpstreamSelector::permitRate(upstream, query, now).has_value();
+        const bool needsPermit = this->permitRate(upstream, query, now).has_value();
         const bool canAskForPermit =
                 query.mayNeedPermit && upstream.path.hasLink && now >= upstream.permitRefusedUntil;
         if (needsPermit && !canAskForPermit) {
@@ -240,7 +244,7 @@
                              : 0ms,
         .slowStartRemaining =
                 std::max(0ms, std::chrono::ceil<Milliseconds>(upstream.slowStartUntil - now)),
-        .permitRate = UpstreamSelector::permitRate(upstream, query, now)
+        .permitRate = this->permitRate(upstream, query, now)
     };
     return selection;
 }
@@ -310,10 +314,12 @@
 }
 
 /// Requests a second to an upstream for which permits are granted: the lower of the limit that the
-/// upstream has named and, in slow start, the limit of its service. Empty without either. An engine
-/// that restarted, as its load notice tells, is in slow start until its announcement says more.
+/// upstream has named and, in slow start, the limit of its service. An engine that restarted, as
+/// its load notice tells, is in slow start until its announcement says more. Without a limit, an
+/// engine whose weights are about to expire needs permits at any rate, since their round trip shows
+/// whether the path is congested now. Otherwise empty.
 std::optional<double> UpstreamSelector::permitRate(const Upstream &upstream,
-                                                   const SelectionQuery &query, TimePoint now)
+                                                   const SelectionQuery &query, TimePoint now) const
 {
     const bool hasRestarted =
             upstream.hasNotice && upstream.loadNotice.startedAtMs > upstream.record.startedAtMs;
@@ -325,6 +331,12 @@
         const double limitedRate = std::max(*limit->requestsPerSecond, kMinLimitedRate);
         rate = std::min(rate.value_or(limitedRate), limitedRate);
     }
+    const bool isAboutToExpire =
+            query.plan != nullptr && query.plan->engine && query.version.upcomingMinimum != 0
+            && query.version.timeUntilUpcoming < kMaxPathDelay
+            && this->reportedVersion(upstream, now) < query.version.upcomingMinimum;
+    if (!rate && isAboutToExpire)
+        rate = kMaxPermitRate;
     return rate;
 }
 
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -92,8 +92,8 @@
     Milliseconds noticeAge{ 0 };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
     /// Requests a second to which the upstream's issuer limits permits, see `SlowStartPermits`: the
-    /// upstream is in slow start or has named a limit, and the request may be sent only with a
-    /// permit. Empty: no permit is needed.
+    /// upstream is in slow start, has named a limit, or has weights that are about to expire, and
+    /// the request may be sent only with a permit. Empty: no permit is needed.
     std::optional<double> permitRate;
     NoUpstreamReason problem{ NoUpstreamReason::none }; ///< why no upstream is selected
     /// Delay after which the client may retry, when no upstream is selected.
@@ -202,8 +202,8 @@
     bool startsBeforeDeadline(const Candidate &candidate, const SelectionQuery &query,
                               TimePoint now) const;
     std::uint64_t reportedVersion(const Upstream &upstream, TimePoint now) const;
-    static std::optional<double> permitRate(const Upstream &upstream, const SelectionQuery &query,
-                                            TimePoint now);
+    std::optional<double> permitRate(const Upstream &upstream, const SelectionQuery &query,
+                                     TimePoint now) const;
     std::uint64_t requiredVersion(const SelectionQuery &query, TimePoint now) const;
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -450,6 +450,23 @@
             << "engine 2 serves the new version";
 }
 
+// Guards against requests that wait behind pieces of weights on the way to an engine until its
+// weights have expired.
+TEST_F(UpstreamSelectorTest, OldWeightsAreUsedShortlyBeforeTheirDeadlineOnlyAfterARoundTrip)
+{
+    this->selector.onRecord(this->record(1), kStart);
+    this->sendLoadNotice(1, 4, 0);
+    SelectionQuery query = this->query();
+    query.version = { .minimum = 1, .upcomingMinimum = 2, .timeUntilUpcoming = 1s };
+    EXPECT_TRUE(this->selector.choose(query, kStart).permitRate.has_value());
+    query.version.timeUntilUpcoming = 5s;
+    EXPECT_FALSE(this->selector.choose(query, kStart).permitRate.has_value());
+    query.version.timeUntilUpcoming = 1s;
+    this->sendLoadNotice(1, 4, 0, 2);
+    EXPECT_FALSE(this->selector.choose(query, kStart).permitRate.has_value())
+            << "the engine serves the new version";
+}
+
 TEST_F(UpstreamSelectorTest, EngineWithoutALinkIsUsedLast)
 {
     this->selector.onRecord(this->record(1), kStart);
