Name suspects what are segments or requests

The evidence of crashes and the quarantine hold requests beside prompt segments since, under names that say segment. SegmentQuarantine is now CrashQuarantine, SegmentCrash CrashReport, and so on; the names of tests, log lines, metrics, the text in the quorum and message ids stay.

No functional change.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -22,29 +22,29 @@
     return suspect.starts_with(kRequestPrefix);
 }
 
-void CrashEvidence::onCrash(const SegmentCrash &crash, TimePoint now)
+void CrashEvidence::onCrash(const CrashReport &crash, TimePoint now)
 {
     while (!this->reports.empty()
            && (this->reports.size() >= this->options.maxReports
                || !this->isCurrent(this->reports.front(), now)))
         this->reports.pop_front();
-    if (!crash.segments.empty())
+    if (!crash.suspects.empty())
         this->reports.push_back({ .crash = crash, .receivedAt = now });
 }
 
-void CrashEvidence::clear(const std::string &segment)
+void CrashEvidence::clear(const std::string &suspect)
 {
     for (Report &report : this->reports)
-        std::erase(report.crash.segments, segment);
-    std::erase_if(this->reports, [](const Report &each) { return each.crash.segments.empty(); });
+        std::erase(report.crash.suspects, suspect);
+    std::erase_if(this->reports, [](const Report &each) { return each.crash.suspects.empty(); });
 }
 
-std::vector<std::string> CrashEvidence::crashingSegments(TimePoint now) const
+std::vector<std::string> CrashEvidence::crashingSuspects(TimePoint now) const
 {
     std::vector<std::string> crashing;
     std::set<std::string> explainedUpstreams;
     while (true) {
-        const auto evidenceBySegment = this->collect(explainedUpstreams, now);
+        const auto evidenceBySuspect = this->collect(explainedUpstreams, now);
         const auto strength = [](const auto &each) {
             const Evidence &evidence = each.second;
             const bool isSeveralRequests =
@@ -54,7 +54,7 @@
         };
         const std::string *strongest = nullptr;
         const Evidence *strongestEvidence = nullptr;
-        for (const auto &each : evidenceBySegment) {
+        for (const auto &each : evidenceBySuspect) {
             const bool isStronger =
                     strongest == nullptr
                     || strength(each) > strength(std::pair(*strongest, *strongestEvidence));
@@ -71,14 +71,14 @@
     }
 }
 
-std::set<std::string> CrashEvidence::acquittedSegments(const std::vector<std::string> &crashing,
+std::set<std::string> CrashEvidence::acquittedSuspects(const std::vector<std::string> &crashing,
                                                        TimePoint now) const
 {
     std::set<std::string> explainedUpstreams;
     for (const Report &report : this->reports) {
         const bool isExplained =
-                std::ranges::any_of(report.crash.segments, [&crashing](const std::string &segment) {
-                    return std::ranges::find(crashing, segment) != crashing.end();
+                std::ranges::any_of(report.crash.suspects, [&crashing](const std::string &suspect) {
+                    return std::ranges::find(crashing, suspect) != crashing.end();
                 });
         if (isExplained && this->isCurrent(report, now))
             explainedUpstreams.insert(report.crash.upstream);
@@ -88,34 +88,34 @@
     for (const Report &report : this->reports) {
         if (!this->isCurrent(report, now))
             continue;
-        const auto &segments = report.crash.segments;
+        const auto &suspects = report.crash.suspects;
         const bool isExplained = explainedUpstreams.contains(report.crash.upstream);
-        (isExplained ? acquitted : suspected).insert(segments.begin(), segments.end());
+        (isExplained ? acquitted : suspected).insert(suspects.begin(), suspects.end());
     }
     std::erase_if(acquitted,
                   [&suspected](const std::string &each) { return suspected.contains(each); });
     return acquitted;
 }
 
-/// Collects the evidence against each segment from the reports of crashes that are not explained.
+/// Collects the evidence against each suspect from the reports of crashes that are not explained.
 std::map<std::string, CrashEvidence::Evidence>
 CrashEvidence::collect(const std::set<std::string> &explainedUpstreams, TimePoint now) const
 {
-    std::map<std::string, Evidence> evidenceBySegment;
+    std::map<std::string, Evidence> evidenceBySuspect;
     for (const Report &report : this->reports) {
-        const SegmentCrash &crash = report.crash;
+        const CrashReport &crash = report.crash;
         if (!this->isCurrent(report, now) || explainedUpstreams.contains(crash.upstream))
             continue;
-        for (std::size_t position = 0; position < crash.segments.size(); ++position) {
-            const std::string &segment = crash.segments[position];
-            Evidence &evidence = evidenceBySegment[segment];
+        for (std::size_t position = 0; position < crash.suspects.size(); ++position) {
+            const std::string &suspect = crash.suspects[position];
+            Evidence &evidence = evidenceBySuspect[suspect];
             const bool isNewRequest = evidence.requests.insert(crash.request).second;
-            const bool isRetry = isRequestSuspect(segment) && !isNewRequest;
+            const bool isRetry = isRequestSuspect(suspect) && !isNewRequest;
             evidence.prompts.insert(crash.prompt);
             evidence.depth = std::max(evidence.depth, position);
             evidence.isEstablished = evidence.isEstablished
-                                     || std::ranges::find(crash.establishedSegments, segment)
-                                                != crash.establishedSegments.end();
+                                     || std::ranges::find(crash.establishedSuspects, suspect)
+                                                != crash.establishedSuspects.end();
             const bool isNewUpstream = evidence.upstreams.insert(crash.upstream).second;
             const bool isSimultaneous =
                     evidence.crashCount > 0
@@ -126,7 +126,7 @@
             }
         }
     }
-    return evidenceBySegment;
+    return evidenceBySuspect;
 }
 
 bool CrashEvidence::isSufficient(const Evidence &evidence) const
--- a/src/crash_evidence.h
+++ b/src/crash_evidence.h
@@ -18,10 +18,10 @@
 
 struct CrashEvidenceOptions
 {
-    /// Crashes under requests with a segment, without an answer in between, after which the
-    /// segment counts as their cause.
+    /// Crashes under requests with a suspect, without an answer in between, after which the
+    /// suspect counts as their cause.
     std::size_t crashThreshold{ 3 };
-    /// As `crashThreshold`, for segments with which answers had begun before the crashes.
+    /// As `crashThreshold`, for suspects with which answers had begun before the crashes.
     std::size_t establishedCrashThreshold{ 6 };
     /// Different requests among them, since a sound request may meet several failing upstreams.
     std::size_t requestThreshold{ 2 };
@@ -33,41 +33,41 @@
     std::size_t maxReports{ 256 };
 };
 
-/// Finds prompt segments, and requests that come again, that crash upstreams, from the reports of
-/// all gateways. `segments` below include such requests, as `requestSuspect`. Each report names a
-/// request whose upstream closed the connection before the answer had begun. Sound requests that
-/// were in progress at a crashing engine are reported too, but answers with their segments begin
-/// elsewhere, which clears these segments. Deterministic; not thread safe.
+/// Finds what crashes upstreams, from the reports of all gateways. Suspects are prompt segments, by
+/// their ids, and requests that come again, by `requestSuspect`. Each report names a request whose
+/// upstream closed the connection before the answer had begun. Sound requests that were in progress
+/// at a crashing upstream are reported too, but answers with their suspects begin elsewhere, which
+/// clears these suspects. Deterministic; not thread safe.
 class CrashEvidence
 {
 public:
     explicit CrashEvidence(CrashEvidenceOptions options = {}) : options(options) {}
 
-    void onCrash(const SegmentCrash &crash, TimePoint now);
+    void onCrash(const CrashReport &crash, TimePoint now);
 
-    /// An answer to a prompt with this segment has begun: the segment is not the cause of the
+    /// An answer to a request with this suspect has begun: the suspect is not the cause of the
     /// crashes so far.
-    void clear(const std::string &segment);
+    void clear(const std::string &suspect);
 
-    /// Returns the segments that explain the crashes, the strongest evidence first. A segment that
+    /// Returns the suspects that explain the crashes, the strongest evidence first. A suspect that
     /// occurs only in crashes that a stronger one explains is not among them. Among segments that
     /// always occur together, the last in the prompts is blamed: fewer other requests have it. A
     /// request is blamed before its segments, unless its prompts differ: then it is several
     /// requests with one body.
-    std::vector<std::string> crashingSegments(TimePoint now) const;
+    std::vector<std::string> crashingSuspects(TimePoint now) const;
 
-    /// Returns the segments that `crashing`, a result of `crashingSegments`, acquits: each of their
-    /// crashes is one of a segment in `crashing`.
-    std::set<std::string> acquittedSegments(const std::vector<std::string> &crashing,
+    /// Returns the suspects that `crashing`, a result of `crashingSuspects`, acquits: each of their
+    /// crashes is one of a suspect in `crashing`.
+    std::set<std::string> acquittedSuspects(const std::vector<std::string> &crashing,
                                             TimePoint now) const;
 
 private:
     struct Report
     {
-        SegmentCrash crash;
+        CrashReport crash;
         TimePoint receivedAt;
     };
-    /// Evidence against one segment.
+    /// Evidence against one suspect.
     struct Evidence
     {
         std::set<std::string> upstreams;
--- a/src/segment_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "segment_quarantine.h"
+#include "crash_quarantine.h"
 
 #include "crash_evidence.h"
 #include "digest.h"
@@ -13,16 +13,16 @@
 
 namespace {
 
-/// An answer that began within this time before a crash speaks for its segments. A segment that
+/// An answer that began within this time before a crash speaks for its suspects. A suspect that
 /// has just begun to crash engines is suspected after this time.
 constexpr Milliseconds kRecentBegin = 1s;
-/// As `kRecentBegin`, before the quarantine of a segment. Longer than a registry needs to spread
+/// As `kRecentBegin`, before the quarantine of a suspect. Longer than a registry needs to spread
 /// the quarantine, shorter than `kRecentBegin`.
 constexpr Milliseconds kBeginBeforeQuarantine = 500ms;
-/// A segment counts as established for this time after an answer with it began.
+/// A suspect counts as established for this time after an answer with it began.
 constexpr Milliseconds kEstablishedLifetime = 60s;
-constexpr std::size_t kMaxEstablishedSegments = 8192;
-/// Time for which a reported segment is remembered: lifetime of the registries' evidence.
+constexpr std::size_t kMaxEstablishedSuspects = 8192;
+/// Time for which a reported suspect is remembered: lifetime of the registries' evidence.
 constexpr Milliseconds kReportLifetime = 60s;
 constexpr std::size_t kPromptDigestDigits = 16;
 constexpr Milliseconds kCleanUpPeriod = 5s;
@@ -32,59 +32,59 @@
 
 } // namespace
 
-std::string quarantineText(const std::vector<QuarantinedSegment> &segments)
+std::string quarantineText(const std::vector<QuarantinedSuspect> &suspects)
 {
     std::string text;
-    for (const QuarantinedSegment &each : segments)
-        text += std::to_string(each.probes) + " " + each.segment + "\n";
+    for (const QuarantinedSuspect &each : suspects)
+        text += std::to_string(each.probes) + " " + each.suspect + "\n";
     return text;
 }
 
-std::vector<QuarantinedSegment> parseQuarantineText(const std::string &text)
+std::vector<QuarantinedSuspect> parseQuarantineText(const std::string &text)
 {
-    std::vector<QuarantinedSegment> segments;
+    std::vector<QuarantinedSuspect> suspects;
     std::istringstream lines(text);
     for (std::string line; std::getline(lines, line);) {
-        QuarantinedSegment each;
+        QuarantinedSuspect each;
         const auto parsed = std::from_chars(line.data(), line.data() + line.size(), each.probes);
         const auto used = static_cast<std::size_t>(parsed.ptr - line.data());
         if (parsed.ec != std::errc{} || used + 1 >= line.size() || line[used] != ' ')
             continue;
-        each.segment = line.substr(used + 1);
-        segments.push_back(std::move(each));
+        each.suspect = line.substr(used + 1);
+        suspects.push_back(std::move(each));
     }
-    return segments;
+    return suspects;
 }
 
-std::vector<std::string> SegmentQuarantine::onBegun(const std::vector<std::string> &segments,
-                                                    TimePoint now)
+std::vector<std::string> CrashQuarantine::onBegun(const std::vector<std::string> &suspects,
+                                                  TimePoint now)
 {
     this->dropOutdated(now);
     std::vector<std::string> toReport;
-    for (const std::string &segment : segments) {
-        this->begunAt[segment] = now;
-        const bool wasReported = this->reportedAt.erase(segment) > 0;
-        if (wasReported || this->quarantined.contains(segment))
-            toReport.push_back(segment);
+    for (const std::string &suspect : suspects) {
+        this->begunAt[suspect] = now;
+        const bool wasReported = this->reportedAt.erase(suspect) > 0;
+        if (wasReported || this->quarantined.contains(suspect))
+            toReport.push_back(suspect);
     }
     return toReport;
 }
 
-SegmentCrash SegmentQuarantine::onCrash(const std::string &upstream, const std::string &request,
-                                        const std::vector<std::string> &segments, TimePoint now)
+CrashReport CrashQuarantine::onCrash(const std::string &upstream, const std::string &request,
+                                     const std::vector<std::string> &suspects, TimePoint now)
 {
-    SegmentCrash report{ .upstream = upstream, .request = request };
+    CrashReport report{ .upstream = upstream, .request = request };
     DigestStream prompt;
-    for (const std::string &segment : segments) {
-        if (!isRequestSuspect(segment))
-            prompt.update(segment + ",");
-        if (this->hasBegunSince(segment, now - kRecentBegin))
+    for (const std::string &suspect : suspects) {
+        if (!isRequestSuspect(suspect))
+            prompt.update(suspect + ",");
+        if (this->hasBegunSince(suspect, now - kRecentBegin))
             continue;
-        report.segments.push_back(segment);
-        if (this->hasBegunSince(segment, now - kEstablishedLifetime))
-            report.establishedSegments.push_back(segment);
-        this->reportedAt[segment] = now;
-        if (isRequestSuspect(segment))
+        report.suspects.push_back(suspect);
+        if (this->hasBegunSince(suspect, now - kEstablishedLifetime))
+            report.establishedSuspects.push_back(suspect);
+        this->reportedAt[suspect] = now;
+        if (isRequestSuspect(suspect))
             this->requestReportedUntil = now + kReportLifetime;
     }
     report.prompt = prompt.finish().substr(0, kPromptDigestDigits);
@@ -92,11 +92,11 @@
 }
 
 std::vector<std::string>
-SegmentQuarantine::setQuarantined(const std::vector<QuarantinedSegment> &segments, TimePoint now)
+CrashQuarantine::setQuarantined(const std::vector<QuarantinedSuspect> &suspects, TimePoint now)
 {
     const auto previous = std::exchange(this->quarantined, {});
-    for (const QuarantinedSegment &each : segments)
-        this->quarantined.insert(each.segment);
+    for (const QuarantinedSuspect &each : suspects)
+        this->quarantined.insert(each.suspect);
     this->quarantinesRequests = std::ranges::any_of(this->quarantined, isRequestSuspect);
     const auto isReleased = [this](const auto &each) {
         return !this->quarantined.contains(each.first);
@@ -105,67 +105,67 @@
     std::erase_if(this->probeGrantedAt, isReleased);
     std::vector<std::string> toReport;
     std::ranges::copy_if(this->quarantined, std::back_inserter(toReport),
-                         [&](const std::string &segment) {
-                             return !previous.contains(segment)
-                                    && this->hasBegunSince(segment, now - kBeginBeforeQuarantine);
+                         [&](const std::string &suspect) {
+                             return !previous.contains(suspect)
+                                    && this->hasBegunSince(suspect, now - kBeginBeforeQuarantine);
                          });
     return toReport;
 }
 
-SegmentDecision SegmentQuarantine::decide(const std::vector<std::string> &segments, TimePoint now)
+QuarantineDecision CrashQuarantine::decide(const std::vector<std::string> &suspects, TimePoint now)
 {
     std::vector<std::string> found;
-    std::ranges::copy_if(segments, std::back_inserter(found), [this](const std::string &segment) {
-        return this->quarantined.contains(segment);
+    std::ranges::copy_if(suspects, std::back_inserter(found), [this](const std::string &suspect) {
+        return this->quarantined.contains(suspect);
     });
     if (found.empty())
         return {};
-    SegmentDecision decision{ .isRefused = true, .segment = found.front() };
+    QuarantineDecision decision{ .isRefused = true, .suspect = found.front() };
     if (found.size() > 1)
         return decision;
-    const auto granted = this->probeGrantedAt.find(decision.segment);
+    const auto granted = this->probeGrantedAt.find(decision.suspect);
     if (granted != this->probeGrantedAt.end()) {
         decision.isProbe = now < granted->second + kProbeLifetime;
         decision.isRefused = !decision.isProbe;
         this->probeGrantedAt.erase(granted);
         return decision;
     }
-    const auto [asked, isFirst] = this->probeAskedAt.emplace(decision.segment, now);
+    const auto [asked, isFirst] = this->probeAskedAt.emplace(decision.suspect, now);
     decision.mustAskForProbe = isFirst || now >= asked->second + kProbeAskInterval;
     if (decision.mustAskForProbe)
         asked->second = now;
     return decision;
 }
 
-bool SegmentQuarantine::isQuarantined(const std::vector<std::string> &segments) const
+bool CrashQuarantine::isQuarantined(const std::vector<std::string> &suspects) const
 {
-    return std::ranges::any_of(segments, [this](const std::string &segment) {
-        return this->quarantined.contains(segment);
+    return std::ranges::any_of(suspects, [this](const std::string &suspect) {
+        return this->quarantined.contains(suspect);
     });
 }
 
-void SegmentQuarantine::onProbeGranted(const std::string &segment, TimePoint now)
+void CrashQuarantine::onProbeGranted(const std::string &suspect, TimePoint now)
 {
-    if (this->quarantined.contains(segment))
-        this->probeGrantedAt[segment] = now;
+    if (this->quarantined.contains(suspect))
+        this->probeGrantedAt[suspect] = now;
 }
 
-void SegmentQuarantine::dropOutdated(TimePoint now)
+void CrashQuarantine::dropOutdated(TimePoint now)
 {
     if (now < this->nextCleanUpAt)
         return;
     this->nextCleanUpAt = now + kCleanUpPeriod;
     const Milliseconds kept =
-            this->begunAt.size() > kMaxEstablishedSegments ? kRecentBegin : kEstablishedLifetime;
+            this->begunAt.size() > kMaxEstablishedSuspects ? kRecentBegin : kEstablishedLifetime;
     std::erase_if(this->begunAt,
                   [now, kept](const auto &each) { return now > each.second + kept; });
     std::erase_if(this->reportedAt,
                   [now](const auto &each) { return now > each.second + kReportLifetime; });
 }
 
-bool SegmentQuarantine::hasBegunSince(const std::string &segment, TimePoint since) const
+bool CrashQuarantine::hasBegunSince(const std::string &suspect, TimePoint since) const
 {
-    const auto found = this->begunAt.find(segment);
+    const auto found = this->begunAt.find(suspect);
     return found != this->begunAt.end() && found->second >= since;
 }
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "buffer_budget.h"
 #include "clock.h"
 #include "crash_evidence.h"
+#include "crash_quarantine.h"
 #include "event_stream_merger.h"
 #include "gateway_retry_budgets.h"
 #include "http_frontend.h"
@@ -16,7 +17,6 @@
 #include "registry_node.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
-#include "segment_quarantine.h"
 #include "slow_start_permits.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
@@ -335,8 +335,8 @@
             this->onPermitReply(*permit);
         else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
             this->onRequestLimit(limit->upstream, observationOf(*limit, bootNow()));
-        else if (const auto *probe = std::get_if<SegmentProbeGrant>(&frame.message))
-            this->quarantine.onProbeGranted(probe->segment, bootNow());
+        else if (const auto *probe = std::get_if<SuspectProbeGrant>(&frame.message))
+            this->quarantine.onProbeGranted(probe->suspect, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
             this->onPiece(link, *piece);
         else if (std::holds_alternative<Have>(frame.message))
@@ -411,7 +411,7 @@
     void reportBegun(const std::vector<std::string> &segments)
     {
         if (!segments.empty())
-            this->viewReader.sendToAll(SegmentsBegun{ .segments = segments });
+            this->viewReader.sendToAll(SuspectsBegun{ .suspects = segments });
     }
 
     void applyDocument(const NumberedText &text)
@@ -505,18 +505,18 @@
         std::string ownSuspect;
         if (this->quarantine.tracksRequests(now))
             suspects.push_back(ownSuspect = suspectOf(customer, request));
-        const SegmentDecision decision = this->quarantine.decide(suspects, now);
+        const QuarantineDecision decision = this->quarantine.decide(suspects, now);
         if (decision.mustAskForProbe)
             this->hub.send(this->viewReader.view().confirmingRegistry(), Channel::control,
-                           SegmentProbeRequest{ .segment = decision.segment });
+                           SuspectProbeRequest{ .suspect = decision.suspect });
         if (decision.isRefused)
             return this->refuse(metadata, *reply, kUnavailable,
-                                isRequestSuspect(decision.segment) ? kQuarantinedRequest
+                                isRequestSuspect(decision.suspect) ? kQuarantinedRequest
                                                                    : kQuarantinedSegment,
                                 kQuarantineRetryAfter);
         if (decision.isProbe)
             logInfo("quarantined segment is probed",
-                    { { "request", metadata.id }, { "segment", decision.segment } });
+                    { { "request", metadata.id }, { "segment", decision.suspect } });
         // Step 2. Create the exchange and send the request.
         const Milliseconds timeLimit =
                 std::min(route->timeout, metadata.remaining.value_or(route->timeout));
@@ -1043,9 +1043,9 @@
             return;
         }
         ++this->counters.closedBeforeBegin;
-        const SegmentCrash report = this->quarantine.onCrash(
-                exchange.upstream, exchange.metadata.id, suspectsOf(exchange), now);
-        if (!report.segments.empty())
+        const CrashReport report = this->quarantine.onCrash(exchange.upstream, exchange.metadata.id,
+                                                            suspectsOf(exchange), now);
+        if (!report.suspects.empty())
             this->viewReader.sendToAll(report);
     }
 
@@ -1260,7 +1260,7 @@
     HttpPool upstreamCalls;
     HttpFrontend frontend;
     PlanIndexPtr plan;
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     std::uint64_t quarantineNumber{ 0 }; ///< number of the quarantine text in force
     std::map<std::string, VersionDeadlines> versionDeadlines; ///< by model
     std::set<ExchangePtr> exchanges;
--- a/src/quarantine_control.cpp
+++ b/src/quarantine_control.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// The oldest quarantined segments are released beyond this number.
-constexpr std::size_t kMaxQuarantinedSegments = 64;
-/// Time from the quarantine of a segment to its first probe.
+/// The oldest quarantined suspects are released beyond this number.
+constexpr std::size_t kMaxQuarantinedSuspects = 64;
+/// Time from the quarantine of a suspect to its first probe.
 constexpr Milliseconds kFirstProbeDelay = 20s;
 /// Factor by which the interval grows with each probe, up to `kMaxProbeInterval`.
 constexpr int kProbeBackoff = 4;
@@ -23,43 +23,43 @@
     return std::min(interval, kMaxProbeInterval);
 }
 
-bool contains(const std::vector<QuarantinedSegment> &segments, const std::string &segment)
+bool contains(const std::vector<QuarantinedSuspect> &suspects, const std::string &suspect)
 {
-    return std::ranges::find(segments, segment, &QuarantinedSegment::segment) != segments.end();
+    return std::ranges::find(suspects, suspect, &QuarantinedSuspect::suspect) != suspects.end();
 }
 
 } // namespace
 
-bool SegmentProbes::start(const QuarantinedSegment &quarantined, TimePoint now)
+bool SuspectProbes::start(const QuarantinedSuspect &quarantined, TimePoint now)
 {
     const auto [next, isNew] =
-            this->nextProbeAt.emplace(quarantined.segment, now + probeInterval(quarantined.probes));
+            this->nextProbeAt.emplace(quarantined.suspect, now + probeInterval(quarantined.probes));
     if (isNew || now < next->second)
         return false;
     next->second = now + probeInterval(quarantined.probes + 1);
     return true;
 }
 
-void SegmentProbes::keepOnly(const std::vector<QuarantinedSegment> &quarantined)
+void SuspectProbes::keepOnly(const std::vector<QuarantinedSuspect> &quarantined)
 {
     std::erase_if(this->nextProbeAt,
                   [&](const auto &each) { return !contains(quarantined, each.first); });
 }
 
-void QuarantineControl::onCrash(const SegmentCrash &crash, TimePoint now)
+void QuarantineControl::onCrash(const CrashReport &crash, TimePoint now)
 {
     this->evidence.onCrash(crash, now);
     this->hasNewEvidence = true;
 }
 
-void QuarantineControl::onBegun(const std::vector<std::string> &segments,
+void QuarantineControl::onBegun(const std::vector<std::string> &suspects,
                                 const NumberedText &inForce)
 {
     const auto quarantined = parseQuarantineText(inForce.text);
-    for (const std::string &segment : segments) {
-        this->evidence.clear(segment);
-        if (contains(quarantined, segment))
-            this->segmentsToRelease.insert(segment);
+    for (const std::string &suspect : suspects) {
+        this->evidence.clear(suspect);
+        if (contains(quarantined, suspect))
+            this->suspectsToRelease.insert(suspect);
     }
     this->hasNewEvidence = true;
 }
@@ -69,8 +69,8 @@
     if (inForce.number == std::exchange(this->appliedNumber, inForce.number))
         return false;
     const auto quarantined = parseQuarantineText(inForce.text);
-    std::erase_if(this->segmentsToRelease,
-                  [&](const std::string &segment) { return !contains(quarantined, segment); });
+    std::erase_if(this->suspectsToRelease,
+                  [&](const std::string &suspect) { return !contains(quarantined, suspect); });
     this->probes.keepOnly(quarantined);
     return true;
 }
@@ -81,29 +81,29 @@
         return std::nullopt;
     this->hasNewEvidence = false;
     const auto current = parseQuarantineText(inForce.text);
-    const auto crashing = this->evidence.crashingSegments(now);
-    const auto acquitted = this->evidence.acquittedSegments(crashing, now);
+    const auto crashing = this->evidence.crashingSuspects(now);
+    const auto acquitted = this->evidence.acquittedSuspects(crashing, now);
     auto wanted = current;
-    std::erase_if(wanted, [&](const QuarantinedSegment &each) {
-        return acquitted.contains(each.segment) || this->segmentsToRelease.contains(each.segment);
+    std::erase_if(wanted, [&](const QuarantinedSuspect &each) {
+        return acquitted.contains(each.suspect) || this->suspectsToRelease.contains(each.suspect);
     });
-    for (const std::string &segment : crashing) {
-        if (!contains(wanted, segment))
-            wanted.push_back({ .segment = segment });
+    for (const std::string &suspect : crashing) {
+        if (!contains(wanted, suspect))
+            wanted.push_back({ .suspect = suspect });
     }
-    if (wanted.size() > kMaxQuarantinedSegments)
-        wanted.erase(wanted.begin(), wanted.end() - kMaxQuarantinedSegments);
+    if (wanted.size() > kMaxQuarantinedSuspects)
+        wanted.erase(wanted.begin(), wanted.end() - kMaxQuarantinedSuspects);
     if (wanted == current)
         return std::nullopt;
     return this->startProposal(inForce, wanted);
 }
 
-std::optional<NumberedText> QuarantineControl::proposeProbe(const std::string &segment,
+std::optional<NumberedText> QuarantineControl::proposeProbe(const std::string &suspect,
                                                             const NumberedText &inForce,
                                                             TimePoint now)
 {
     auto quarantined = parseQuarantineText(inForce.text);
-    const auto found = std::ranges::find(quarantined, segment, &QuarantinedSegment::segment);
+    const auto found = std::ranges::find(quarantined, suspect, &QuarantinedSuspect::suspect);
     if (this->isProposalPending || found == quarantined.end() || !this->probes.start(*found, now))
         return std::nullopt;
     ++found->probes;
@@ -112,12 +112,12 @@
 
 std::optional<NumberedText>
 QuarantineControl::startProposal(const NumberedText &inForce,
-                                 const std::vector<QuarantinedSegment> &segments)
+                                 const std::vector<QuarantinedSuspect> &suspects)
 {
     this->isProposalPending = true;
     return NumberedText{ .name = kQuarantineText,
                          .number = inForce.number + 1,
-                         .text = quarantineText(segments) };
+                         .text = quarantineText(suspects) };
 }
 
 void QuarantineControl::onProposalEnded()
--- a/src/quarantine_control.h
+++ b/src/quarantine_control.h
@@ -1,31 +1,31 @@
 #pragma once
 
 #include "crash_evidence.h"
-#include "segment_quarantine.h"
+#include "crash_quarantine.h"
 
 #include <optional>
 #include <set>
 
 namespace egret {
 
-/// Decides when a request with a quarantined segment may be admitted to test whether the segment
-/// still crashes engines. The intervals grow with the number of earlier probes, because each probe
-/// may cost an engine. Deterministic; not thread safe.
-class SegmentProbes
+/// Decides when a request with a quarantined suspect may be admitted to test whether the suspect
+/// still crashes upstreams. The intervals grow with the number of earlier probes, because each
+/// probe may cost an upstream. Deterministic; not thread safe.
+class SuspectProbes
 {
 public:
-    /// True when a probe of the segment is due; it then counts as started. The first interval
-    /// begins with the first call for a segment.
-    bool start(const QuarantinedSegment &quarantined, TimePoint now);
+    /// True when a probe of the suspect is due; it then counts as started. The first interval
+    /// begins with the first call for a suspect.
+    bool start(const QuarantinedSuspect &quarantined, TimePoint now);
 
-    /// Forgets all segments but the given ones.
-    void keepOnly(const std::vector<QuarantinedSegment> &quarantined);
+    /// Forgets all suspects but the given ones.
+    void keepOnly(const std::vector<QuarantinedSuspect> &quarantined);
 
 private:
-    std::map<std::string, TimePoint> nextProbeAt; ///< by segment
+    std::map<std::string, TimePoint> nextProbeAt; ///< by suspect
 };
 
-/// Decides for all gateways which prompt segments are quarantined. Every registry instance keeps
+/// Decides for all gateways which suspects are quarantined. Every registry instance keeps
 /// the evidence; the leading one proposes the texts that this class returns to the quorum. Only one
 /// proposal is pending at a time. Parameters named `inForce` hold the applied text. Deterministic;
 /// not thread safe.
@@ -33,10 +33,10 @@
 {
 public:
     /// A gateway reported a crash.
-    void onCrash(const SegmentCrash &crash, TimePoint now);
+    void onCrash(const CrashReport &crash, TimePoint now);
 
-    /// A gateway reported that answers with these segments begin.
-    void onBegun(const std::vector<std::string> &segments, const NumberedText &inForce);
+    /// A gateway reported that answers with these suspects begin.
+    void onBegun(const std::vector<std::string> &suspects, const NumberedText &inForce);
 
     /// This instance became the leader, or lost the leadership.
     void onLeadershipChanged() { this->hasNewEvidence = true; }
@@ -48,10 +48,10 @@
     /// Precondition: this instance leads.
     std::optional<NumberedText> propose(const NumberedText &inForce, TimePoint now);
 
-    /// Text to propose if a probe of the segment is due: the probe may be admitted once the quorum
+    /// Text to propose if a probe of the suspect is due: the probe may be admitted once the quorum
     /// has accepted the text, so that a later leader knows of the probe. Otherwise empty.
     /// Precondition: this instance leads.
-    std::optional<NumberedText> proposeProbe(const std::string &segment,
+    std::optional<NumberedText> proposeProbe(const std::string &suspect,
                                              const NumberedText &inForce, TimePoint now);
 
     /// The quorum accepted or rejected the proposal.
@@ -59,11 +59,11 @@
 
 private:
     std::optional<NumberedText> startProposal(const NumberedText &inForce,
-                                              const std::vector<QuarantinedSegment> &segments);
+                                              const std::vector<QuarantinedSuspect> &suspects);
 
     CrashEvidence evidence;
-    SegmentProbes probes;
-    std::set<std::string> segmentsToRelease; ///< quarantined, but answers with them have begun
+    SuspectProbes probes;
+    std::set<std::string> suspectsToRelease; ///< quarantined, but answers with them have begun
     bool hasNewEvidence{ false };            ///< the quarantine may have to change
     bool isProposalPending{ false };
     std::uint64_t appliedNumber{ 0 };
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -191,7 +191,7 @@
         appendMetric("voters", status.voters);
         appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
         appendMetric("limited_upstreams", std::ranges::count_if(this->requestLimits, isLimited));
-        appendMetric("segment_crashes_total", this->segmentCrashCount);
+        appendMetric("segment_crashes_total", this->crashReportCount);
         appendMetric("quarantined_segments", parseQuarantineText(this->quarantine().text).size());
         appendMetric("calls_total", this->lastCallId);
         appendMetric("calls_unavailable_total", this->unavailableCallCount);
@@ -219,11 +219,11 @@
             this->onPermitRequest(link, *permit);
         else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
             this->onRequestLimit(*limit);
-        else if (const auto *crash = std::get_if<SegmentCrash>(&frame.message))
-            this->onSegmentCrash(*crash);
-        else if (const auto *begun = std::get_if<SegmentsBegun>(&frame.message))
-            this->onSegmentsBegun(*begun);
-        else if (const auto *probe = std::get_if<SegmentProbeRequest>(&frame.message))
+        else if (const auto *crash = std::get_if<CrashReport>(&frame.message))
+            this->onCrashReport(*crash);
+        else if (const auto *begun = std::get_if<SuspectsBegun>(&frame.message))
+            this->onSuspectsBegun(*begun);
+        else if (const auto *probe = std::get_if<SuspectProbeRequest>(&frame.message))
             this->onProbeRequest(link, *probe);
         else
             this->onQuorumFrame(frame);
@@ -465,9 +465,9 @@
         }
     }
 
-    // Prompt segments that crash engines.
+    // Segments and requests that crash upstreams.
 
-    /// Text with the quarantined segments in the applied state; number 0 when there is none.
+    /// Text with the quarantined suspects in the applied state; number 0 when there is none.
     NumberedText quarantine() const
     {
         const auto &texts = this->appliedState->texts;
@@ -475,16 +475,16 @@
         return found == texts.end() ? NumberedText{ .name = kQuarantineText } : *found;
     }
 
-    void onSegmentCrash(const SegmentCrash &crash)
+    void onCrashReport(const CrashReport &crash)
     {
-        ++this->segmentCrashCount;
+        ++this->crashReportCount;
         this->quarantineControl.onCrash(crash, bootNow());
         this->updateQuarantine();
     }
 
-    void onSegmentsBegun(const SegmentsBegun &begun)
+    void onSuspectsBegun(const SuspectsBegun &begun)
     {
-        this->quarantineControl.onBegun(begun.segments, this->quarantine());
+        this->quarantineControl.onBegun(begun.suspects, this->quarantine());
         this->updateQuarantine();
     }
 
@@ -517,23 +517,23 @@
         if (!this->quarantineControl.onApplied(text))
             return;
         std::string names;
-        for (const QuarantinedSegment &each : parseQuarantineText(text.text))
-            names += (names.empty() ? "" : ",") + each.segment;
+        for (const QuarantinedSuspect &each : parseQuarantineText(text.text))
+            names += (names.empty() ? "" : ",") + each.suspect;
         logInfo("quarantined segments changed",
                 { { "number", text.number }, { "segments", names } });
     }
 
-    void onProbeRequest(const LinkPtr &link, const SegmentProbeRequest &request)
+    void onProbeRequest(const LinkPtr &link, const SuspectProbeRequest &request)
     {
         if (!this->node.leadingTerm())
             return;
-        auto text = this->quarantineControl.proposeProbe(request.segment, this->quarantine(),
+        auto text = this->quarantineControl.proposeProbe(request.suspect, this->quarantine(),
                                                          bootNow());
         if (!text)
             return;
-        this->proposeQuarantine(std::move(*text), [link, segment = request.segment] {
+        this->proposeQuarantine(std::move(*text), [link, segment = request.suspect] {
             logInfo("probe of quarantined segment granted", { { "segment", segment } });
-            link->send(SegmentProbeGrant{ .segment = segment });
+            link->send(SuspectProbeGrant{ .suspect = segment });
         });
     }
 
@@ -661,7 +661,7 @@
     std::uint64_t permitCount{ 0 };
     std::map<std::string, RequestLimit> requestLimits; ///< by upstream
     QuarantineControl quarantineControl;
-    std::uint64_t segmentCrashCount{ 0 };
+    std::uint64_t crashReportCount{ 0 };
 };
 
 RegistryNode::RegistryNode(const NodeSettings &settings) : impl(std::make_shared<Impl>(settings)) {}
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -35,12 +35,12 @@
     {
         this->evidence.onCrash({ .upstream = "e" + std::to_string(this->engineCount),
                                  .request = request,
-                                 .segments = segments,
-                                 .establishedSegments = established },
+                                 .suspects = segments,
+                                 .establishedSuspects = established },
                                this->now);
     }
 
-    Segments crashing() const { return this->evidence.crashingSegments(this->now); }
+    Segments crashing() const { return this->evidence.crashingSuspects(this->now); }
 
     CrashEvidence evidence;
     TimePoint now{ kStart };
@@ -144,9 +144,9 @@
     ASSERT_EQ(this->crashing(), Segments{ "topic" });
     this->crash({ "bad", "z" });
     ASSERT_EQ(this->crashing(), Segments{ "bad" });
-    EXPECT_TRUE(this->evidence.acquittedSegments({ "bad" }, this->now).contains("topic"));
+    EXPECT_TRUE(this->evidence.acquittedSuspects({ "bad" }, this->now).contains("topic"));
     this->crash({ "topic" });
-    EXPECT_FALSE(this->evidence.acquittedSegments({ "bad" }, this->now).contains("topic"));
+    EXPECT_FALSE(this->evidence.acquittedSuspects({ "bad" }, this->now).contains("topic"));
 }
 
 // Guards against a crashing segment that hides behind the sound requests beside it.
@@ -160,7 +160,7 @@
     const auto report = [&](int engine, const Segments &segments) {
         evidence.onCrash({ .upstream = "e" + std::to_string(engine),
                            .request = "r" + std::to_string(++request),
-                           .segments = segments },
+                           .suspects = segments },
                          now);
     };
     const auto topic = [&random] { return "topic" + std::to_string(random() % 8); };
@@ -174,7 +174,7 @@
     evidence.clear("shared");
     for (int i = 0; i < 8; ++i)
         evidence.clear("topic" + std::to_string(i));
-    RC_ASSERT(evidence.crashingSegments(now) == Segments{ "bad" });
+    RC_ASSERT(evidence.crashingSuspects(now) == Segments{ "bad" });
 }
 
 TEST_F(CrashEvidenceTest, BlamesARequestThatComesAgainBeforeItsSegments)
@@ -194,7 +194,7 @@
         this->now += 1s;
         this->evidence.onCrash({ .upstream = "e" + std::to_string(i),
                                  .request = "r" + std::to_string(i),
-                                 .segments = { "bad", request },
+                                 .suspects = { "bad", request },
                                  .prompt = "p" + std::to_string(i) },
                                this->now);
     }
@@ -220,12 +220,12 @@
     const auto crashAt = [&](const std::string &upstream, const std::string &attempt,
                              Milliseconds at) {
         this->evidence.onCrash(
-                { .upstream = upstream, .request = attempt, .segments = { request } }, kStart + at);
+                { .upstream = upstream, .request = attempt, .suspects = { request } }, kStart + at);
     };
     crashAt("e1", "a", 0ms);
     crashAt("e2", "a", 50ms);
     crashAt("e3", "b", 200ms);
-    EXPECT_EQ(this->evidence.crashingSegments(kStart + 300ms), Segments{ request });
+    EXPECT_EQ(this->evidence.crashingSuspects(kStart + 300ms), Segments{ request });
 }
 
 // Guards against blame on sound requests when a zone is lost.
@@ -235,7 +235,7 @@
     for (int i = 0; i < 5; ++i)
         this->evidence.onCrash({ .upstream = "e" + std::to_string(i),
                                  .request = "a" + std::to_string(i),
-                                 .segments = { request } },
+                                 .suspects = { request } },
                                kStart + 10ms * i);
-    EXPECT_TRUE(this->evidence.crashingSegments(kStart + 100ms).empty());
+    EXPECT_TRUE(this->evidence.crashingSuspects(kStart + 100ms).empty());
 }
--- a/tests/segment_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -1,5 +1,5 @@
 #include "crash_evidence.h"
-#include "segment_quarantine.h"
+#include "crash_quarantine.h"
 
 #include <gtest/gtest.h>
 
@@ -10,27 +10,27 @@
 constexpr TimePoint kStart = TimePoint{} + 100s;
 using Segments = std::vector<std::string>;
 
-std::vector<QuarantinedSegment> quarantined(const Segments &segments)
+std::vector<QuarantinedSuspect> quarantined(const Segments &segments)
 {
-    std::vector<QuarantinedSegment> result;
+    std::vector<QuarantinedSuspect> result;
     for (const std::string &segment : segments)
-        result.push_back({ .segment = segment });
+        result.push_back({ .suspect = segment });
     return result;
 }
 
 } // namespace
 
-TEST(SegmentQuarantine, TextKeepsSegmentsAndProbes)
+TEST(CrashQuarantine, TextKeepsSegmentsAndProbes)
 {
-    const std::vector<QuarantinedSegment> segments = { { .segment = "a1", .probes = 3 },
-                                                       { .segment = "with space" } };
+    const std::vector<QuarantinedSuspect> segments = { { .suspect = "a1", .probes = 3 },
+                                                       { .suspect = "with space" } };
     EXPECT_EQ(parseQuarantineText(quarantineText(segments)), segments);
     EXPECT_TRUE(parseQuarantineText("x a1\n\n7\n7 \n").empty());
 }
 
-TEST(SegmentQuarantine, RefusesRequestsWithAQuarantinedSegmentOnly)
+TEST(CrashQuarantine, RefusesRequestsWithAQuarantinedSegmentOnly)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     quarantine.setQuarantined(quarantined({ "bad" }), kStart);
     EXPECT_TRUE(quarantine.decide({ "shared", "bad" }, kStart).isRefused);
     EXPECT_FALSE(quarantine.decide({ "shared", "other" }, kStart).isRefused);
@@ -39,20 +39,20 @@
     EXPECT_FALSE(quarantine.decide({ "shared", "bad" }, kStart).isRefused);
 }
 
-TEST(SegmentQuarantine, ReportsNoSegmentWithWhichAnAnswerJustBegan)
+TEST(CrashQuarantine, ReportsNoSegmentWithWhichAnAnswerJustBegan)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     quarantine.onBegun({ "shared" }, kStart);
-    const SegmentCrash soon = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 500ms);
-    EXPECT_EQ(soon.segments, Segments{ "bad" });
-    const SegmentCrash later = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 2s);
-    EXPECT_EQ(later.segments, (Segments{ "shared", "bad" }));
-    EXPECT_EQ(later.establishedSegments, Segments{ "shared" });
+    const CrashReport soon = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 500ms);
+    EXPECT_EQ(soon.suspects, Segments{ "bad" });
+    const CrashReport later = quarantine.onCrash("e1", "r1", { "shared", "bad" }, kStart + 2s);
+    EXPECT_EQ(later.suspects, (Segments{ "shared", "bad" }));
+    EXPECT_EQ(later.establishedSuspects, Segments{ "shared" });
 }
 
-TEST(SegmentQuarantine, ReportsTheBeginOfSuspectedAndQuarantinedSegments)
+TEST(CrashQuarantine, ReportsTheBeginOfSuspectedAndQuarantinedSegments)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     EXPECT_TRUE(quarantine.onBegun({ "shared" }, kStart).empty());
     quarantine.onCrash("e1", "r1", { "suspect" }, kStart);
     quarantine.setQuarantined(quarantined({ "wrong" }), kStart);
@@ -62,9 +62,9 @@
 }
 
 // Guards against sound requests refused although their answers have begun all along.
-TEST(SegmentQuarantine, ObjectsToASegmentWithWhichAnswersBegin)
+TEST(CrashQuarantine, ObjectsToASegmentWithWhichAnswersBegin)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     quarantine.onBegun({ "served" }, kStart);
     EXPECT_EQ(quarantine.setQuarantined(quarantined({ "served", "bad" }), kStart + 200ms),
               Segments{ "served" });
@@ -72,9 +72,9 @@
             quarantine.setQuarantined(quarantined({ "served", "bad" }), kStart + 200ms).empty());
 }
 
-TEST(SegmentQuarantine, AsksForAProbeOnceASecondAndUsesItOnce)
+TEST(CrashQuarantine, AsksForAProbeOnceASecondAndUsesItOnce)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     quarantine.setQuarantined(quarantined({ "bad" }), kStart);
     EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).mustAskForProbe);
     EXPECT_FALSE(quarantine.decide({ "bad" }, kStart + 500ms).mustAskForProbe);
@@ -88,18 +88,18 @@
     EXPECT_FALSE(quarantine.decide({ "unknown" }, kStart).isProbe);
 }
 
-TEST(SegmentQuarantine, NoProbeOfAPromptWithTwoQuarantinedSegments)
+TEST(CrashQuarantine, NoProbeOfAPromptWithTwoQuarantinedSegments)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     quarantine.setQuarantined(quarantined({ "bad", "worse" }), kStart);
     quarantine.onProbeGranted("bad", kStart);
     EXPECT_FALSE(quarantine.decide({ "bad", "worse" }, kStart).isProbe);
     EXPECT_TRUE(quarantine.decide({ "bad" }, kStart).isProbe);
 }
 
-TEST(SegmentQuarantine, TracksRequestsOnlyWhileOneIsReportedOrQuarantined)
+TEST(CrashQuarantine, TracksRequestsOnlyWhileOneIsReportedOrQuarantined)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     const std::string request = requestSuspect("d1");
     EXPECT_FALSE(quarantine.tracksRequests(kStart));
     quarantine.onCrash("e1", "r1", { "segment" }, kStart);
@@ -116,16 +116,16 @@
 }
 
 // Guards against a client that names a segment like another's request to get it blocked.
-TEST(SegmentQuarantine, RequestSuspectIsNoSegmentId)
+TEST(CrashQuarantine, RequestSuspectIsNoSegmentId)
 {
     EXPECT_NE(requestSuspect("d1").find(':'), std::string::npos);
     EXPECT_TRUE(isRequestSuspect(requestSuspect("d1")));
     EXPECT_FALSE(isRequestSuspect("d1"));
 }
 
-TEST(SegmentQuarantine, ReportsDifferInThePromptOnly)
+TEST(CrashQuarantine, ReportsDifferInThePromptOnly)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     const std::string request = requestSuspect("d1");
     const auto promptOf = [&](const Segments &segments) {
         return quarantine.onCrash("e1", "r1", segments, kStart).prompt;
--- a/tests/quarantine_control_test.cpp
+++ b/tests/quarantine_control_test.cpp
@@ -19,7 +19,7 @@
             this->now += 500ms;
             const std::string number = std::to_string(++this->crashCount);
             this->control.onCrash(
-                    { .upstream = "e" + number, .request = "r" + number, .segments = segments },
+                    { .upstream = "e" + number, .request = "r" + number, .suspects = segments },
                     this->now);
             this->accept(this->control.propose(this->inForce, this->now));
         }
@@ -53,8 +53,8 @@
     std::vector<std::string> quarantined() const
     {
         std::vector<std::string> segments;
-        for (const QuarantinedSegment &each : parseQuarantineText(this->inForce.text))
-            segments.push_back(each.segment);
+        for (const QuarantinedSuspect &each : parseQuarantineText(this->inForce.text))
+            segments.push_back(each.suspect);
         return segments;
     }
 
@@ -112,7 +112,7 @@
         this->now += 1s;
         this->control.onCrash({ .upstream = "e" + std::to_string(i),
                                 .request = "r" + std::to_string(i),
-                                .segments = { "bad" } },
+                                .suspects = { "bad" } },
                               this->now);
     }
     EXPECT_TRUE(this->control.propose(this->inForce, this->now).has_value());
@@ -141,10 +141,10 @@
     EXPECT_EQ(this->quarantined().back(), "bad69");
 }
 
-TEST(SegmentProbes, IntervalsGrowWithTheNumberOfProbes)
+TEST(SuspectProbes, IntervalsGrowWithTheNumberOfProbes)
 {
-    SegmentProbes probes;
-    QuarantinedSegment bad{ .segment = "bad" };
+    SuspectProbes probes;
+    QuarantinedSuspect bad{ .suspect = "bad" };
     EXPECT_FALSE(probes.start(bad, kStart));
     EXPECT_FALSE(probes.start(bad, kStart + 19s));
     EXPECT_TRUE(probes.start(bad, kStart + 20s));
@@ -154,10 +154,10 @@
 }
 
 // Guards against probes that a new leader admits as if there had been none.
-TEST(SegmentProbes, NewLeaderWaitsAsLongAsTheProbesBeforeDemand)
+TEST(SuspectProbes, NewLeaderWaitsAsLongAsTheProbesBeforeDemand)
 {
-    SegmentProbes probes;
-    const QuarantinedSegment bad{ .segment = "bad", .probes = 2 };
+    SuspectProbes probes;
+    const QuarantinedSuspect bad{ .suspect = "bad", .probes = 2 };
     EXPECT_FALSE(probes.start(bad, kStart));
     EXPECT_FALSE(probes.start(bad, kStart + 319s));
     EXPECT_TRUE(probes.start(bad, kStart + 320s));
