--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -407,11 +407,11 @@
                 { { "number", text.number }, { "segments", this->quarantine.size() } });
     }
 
-    /// Tells the registries that answers to prompts with these segments begin.
-    void reportBegun(const std::vector<std::string> &segments)
+    /// Tells the registries that answers to requests with these suspects begin.
+    void reportBegun(const std::vector<std::string> &suspects)
     {
-        if (!segments.empty())
-            this->viewReader.sendToAll(SuspectsBegun{ .suspects = segments });
+        if (!suspects.empty())
+            this->viewReader.sendToAll(SuspectsBegun{ .suspects = suspects });
     }
 
     void applyDocument(const NumberedText &text)
