Bound the rate of views; space the polls of unconfirmed readers

Cause: each announcement was pushed at once by each registry to each reader. Confirmations and heartbeats waited behind them, the leases ended, and readers without a lease polled all registries each 150 ms: five times the normal load, which kept the quorum from coming back.

ViewSchedule decides when a registry sends views: a rate from the machine's share of the processor, pulls before pushes, changes gathered, one waiting pull and push a reader. A reader without a confirmed state polls one registry in turn, and all of them at intervals that double from 150 ms to 1.2 s, spread by its name. Readers begin at different registries. A view without changes no longer visits all upstreams.

Ruled out: the start of the deployment (sound for 3 s), memory (3 MB at most). Test: RegistryFanout, 40 readers and 50 announcements: 2000 pushes with the limit taken out, at most 212 allowed; passes now.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -195,7 +195,7 @@
           selector(selectorOptions(settings), randomSeed()),
           retryBudgets({ .ratio = settings.bounds.retryRatio * kRetryRatioShare,
                          .slack = settings.bounds.retrySlack * kRetrySlackShare,
-                         .window = Seconds(settings.bounds.retryWindow),
+                         .window = millisecondsOf(settings.bounds.retryWindow),
                          .startedAt = bootNow() }),
           pieceRelay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kMillisecondsPerSecond
                                      * kPieceRelayLinkShare }),
@@ -241,7 +241,8 @@
             this->frontend.disableKeepAlive();
             logInfo("planned stop begins", { { "inFlight", this->frontend.unansweredCount() } });
         });
-        const TimePoint drainDeadline = drainBegan + this->settings.bounds.stopGrace - kStopMargin;
+        const TimePoint drainDeadline =
+                drainBegan + millisecondsOf(this->settings.bounds.stopGrace) - kStopMargin;
         std::size_t unansweredRequests = 0;
         do {
             std::this_thread::sleep_for(kDrainPollPeriod);
--- a/src/json_fields.cpp
+++ b/src/json_fields.cpp
@@ -122,4 +122,16 @@
     return true;
 }
 
+bool JsonReader::readCount(const nlohmann::json &source, std::uint64_t &target,
+                           const FieldRule &rule, const std::string &path)
+{
+    constexpr double tooLarge = 1e18;
+    if (!source.is_number_float())
+        return this->readUnsigned(source, target, rule, path);
+    const auto number = source.get<double>();
+    if (!(number >= 0 && number < tooLarge))
+        return this->reject(path, "a number of 0 or more is expected");
+    return this->readUnsigned(static_cast<std::uint64_t>(number), target, rule, path);
+}
+
 } // namespace egret
--- a/src/json_fields.h
+++ b/src/json_fields.h
@@ -108,6 +108,9 @@
     bool readFloat(const nlohmann::json &source, double &target, const std::string &path);
     bool readUnsigned(const nlohmann::json &source, std::uint64_t &target, const FieldRule &rule,
                       const std::string &path);
+    /// Reads a number of time units. A fraction is rounded down, because most times are limits.
+    bool readCount(const nlohmann::json &source, std::uint64_t &target, const FieldRule &rule,
+                   const std::string &path);
 
     template <class T> bool readInteger(const nlohmann::json &source, T &target,
                                         const FieldRule &rule, const std::string &path)
@@ -142,7 +145,7 @@
                       const FieldRule &rule, const std::string &path)
     {
         std::uint64_t value = 0;
-        if (!this->readUnsigned(source, value, rule, path))
+        if (!this->readCount(source, value, rule, path))
             return false;
         target = std::chrono::duration<Rep, Period>(static_cast<Rep>(value));
         return true;
--- a/src/registry.cpp
+++ b/src/registry.cpp
@@ -106,6 +106,8 @@
 std::vector<UpstreamRecord> Registry::changesSince(std::uint64_t changeNumber, TimePoint now) const
 {
     std::vector<UpstreamRecord> changedRecords;
+    if (changeNumber >= this->lastChangeNumber)
+        return changedRecords;
     for (const auto &[id, entry] : this->entries) {
         const UpstreamRecord *record = this->records.find(id);
         if (record == nullptr || entry.changeNumber <= changeNumber)
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -10,6 +10,7 @@
 #include "registry.h"
 #include "request_limit.h"
 #include "slow_start_permits.h"
+#include "view_schedule.h"
 
 #include <asio/post.hpp>
 
@@ -31,6 +32,11 @@
 /// A reader (gateway or stager) that has not pulled a view for this long gets no pushed views.
 /// Only gateways that pulled a view within this time are counted in `View::gatewayCount`.
 constexpr Milliseconds kReaderTimeout = 3s;
+/// Processor time of one view, including the pull that it answers.
+constexpr double kSecondsPerView = 0.0002;
+/// Share of this machine's processor that views may use. The rest is left for the quorum and for
+/// announcements.
+constexpr double kViewShareOfProcessor = 0.4;
 /// A call to the leader is repeated every `kCallRetryPeriod` and abandoned after `kCallTimeout`,
 /// because the client that made the call tries another registry after one second.
 constexpr Milliseconds kCallRetryPeriod = 150ms;
@@ -56,7 +62,6 @@
     std::uint64_t change{ 0 };         ///< number of the last upstream change sent
     std::uint64_t stateIndex{ 0 };     ///< log index of the operators' state sent last
     std::uint64_t documentNumber{ 0 }; ///< number of the document that the reader holds
-    bool wantsDocument{ false };       ///< the current pull asks for the document's text
 };
 
 /// A command or query that waits for the leader's result.
@@ -99,7 +104,10 @@
                                          this->hub.send(endpoint, Channel::control, body);
                                      },
                                      message);
-                         } })
+                         } }),
+          schedule({ .viewsPerSecond =
+                             settings.processorShare * kViewShareOfProcessor / kSecondsPerView,
+                     .readerTimeout = kReaderTimeout })
     {
         for (const std::string &seed : seedEndpoints(settings, true))
             this->otherRegistries.insert(seed);
@@ -182,6 +190,9 @@
         appendMetric("announcements_total", this->announcementCount);
         appendMetric("upstreams", this->registry.size());
         appendMetric("readers", this->readers.size());
+        appendMetric("views_total", this->viewCount);
+        appendMetric("views_pushed_total", this->pushedViewCount);
+        appendMetric("view_pulls_dropped_total", this->schedule.droppedPulls());
         appendMetric("pending_calls", this->pendingCalls.size());
         appendMetric("operator_state_index", this->appliedState->index);
         appendMetric("slow_start_permits_total", this->permitCount);
@@ -242,8 +253,12 @@
 
     void onDown(const LinkPtr &link)
     {
-        std::erase_if(this->readers,
-                      [&link](const auto &each) { return each.second.link == link; });
+        std::erase_if(this->readers, [this, &link](const auto &each) {
+            if (each.second.link != link)
+                return false;
+            this->schedule.erase(each.first);
+            return true;
+        });
         if (!link->target().empty())
             logInfo("registry link lost", { { "peer", link->target() } });
     }
@@ -260,35 +275,49 @@
                    .lastPullAt = bootNow(),
                    .change = isSameIncarnation ? pull.change : 0,
                    .stateIndex = pull.stateIndex,
-                   .documentNumber = pull.documentNumber,
-                   .wantsDocument = pull.wantsDocument };
-        this->sendView(reader, pull.sentAt, false);
-        reader.wantsDocument = false;
-        if (isNewGateway)
+                   .documentNumber = pull.documentNumber };
+        if (isNewGateway) {
+            this->countGateways(reader.lastPullAt);
             this->sendRequestLimits(reader);
+        }
+        this->schedule.onPull(pull.instance,
+                              { .sentAt = pull.sentAt, .wantsDocument = pull.wantsDocument },
+                              reader.lastPullAt);
+        this->sendDueViews();
     }
 
-    /// Sends a view with the changes that the reader lacks and records these changes as sent.
-    /// `pullSentAt`: time at which the reader sent its pull, by the reader's clock; the view echoes
-    /// this time. 0 for a push, which answers no pull.
-    void sendView(Reader &reader, Milliseconds pullSentAt, bool isPush)
+    void sendDueViews()
+    {
+        for (const DueView &due : this->schedule.takeDue(bootNow())) {
+            const auto reader = this->readers.find(due.reader);
+            if (reader != this->readers.end())
+                this->sendView(reader->second, due.pull);
+        }
+    }
+
+    /// Sends a view with the changes that the reader lacks and records these changes as sent. The
+    /// view echoes the time of the pull, by the reader's clock, or 0 for a push.
+    void sendView(Reader &reader, const std::optional<DueView::Pull> &pull)
     {
         const TimePoint now = bootNow();
+        ++this->viewCount;
+        this->pushedViewCount += pull ? 0 : 1;
         View view{ .incarnation = this->incarnation,
-                   .isPush = isPush,
-                   .askedAt = pullSentAt,
+                   .isPush = !pull,
+                   .askedAt = pull ? pull->sentAt : 0ms,
                    .isConfirmed = this->confirmedAt.has_value(),
                    .confirmationAge = this->confirmedAt ? std::chrono::ceil<Milliseconds>(
                                               now - *this->confirmedAt)
                                                         : 0ms,
                    .change = this->registry.change(),
-                   .gatewayCount = this->countGateways(now),
+                   .gatewayCount = this->gatewayCount,
                    .registries = { this->otherRegistries.begin(), this->otherRegistries.end() },
                    .hasState = this->appliedState->index > reader.stateIndex,
                    .upstreams = this->registry.changesSince(reader.change, now) };
         const NumberedText document = this->document();
         view.documentNumber = document.number;
-        const bool sendsDocument = reader.wantsDocument && document.number > reader.documentNumber;
+        const bool sendsDocument =
+                pull && pull->wantsDocument && document.number > reader.documentNumber;
         view.state = this->stateWithoutDocument(now);
         if (sendsDocument)
             view.state.texts.push_back(document);
@@ -323,23 +352,19 @@
         return stateWithAges;
     }
 
-    std::uint32_t countGateways(TimePoint now) const
+    void countGateways(TimePoint now)
     {
-        std::uint32_t count = 0;
+        this->gatewayCount = 0;
         for (const auto &[name, reader] : this->readers) {
             if (reader.isGateway && now < reader.lastPullAt + kReaderTimeout)
-                ++count;
+                ++this->gatewayCount;
         }
-        return count;
     }
 
     void pushViews()
     {
-        const TimePoint now = bootNow();
-        for (auto &[name, reader] : this->readers) {
-            if (now < reader.lastPullAt + kReaderTimeout)
-                this->sendView(reader, 0ms, true);
-        }
+        this->schedule.onChange();
+        this->sendDueViews();
     }
 
     // The replicated state.
@@ -632,8 +657,10 @@
         for (const Done &done : expiredCalls)
             done(ControlResult{ .reason = kUnavailable });
         this->updateQuarantine();
+        this->countGateways(now);
         if (this->registry.tick(now))
-            this->pushViews();
+            this->schedule.onChange();
+        this->sendDueViews();
         std::erase_if(this->requestLimits,
                       [this](const auto &each) { return !this->registry.contains(each.first); });
     }
@@ -645,6 +672,10 @@
     ControlNode node;
     Registry registry;
     std::map<std::string, Reader> readers; ///< by instance
+    ViewSchedule schedule;
+    std::uint32_t gatewayCount{ 0 }; ///< gateways among the readers that pulled lately
+    std::uint64_t viewCount{ 0 };
+    std::uint64_t pushedViewCount{ 0 };
     std::set<std::string> otherRegistries; ///< link addresses of the other registry instances
     std::shared_ptr<const OperatorState> appliedState{ std::make_shared<const OperatorState>() };
     const TimePoint startedAt{ bootNow() };
--- a/src/types.h
+++ b/src/types.h
@@ -19,6 +19,12 @@
 
 using namespace std::chrono_literals;
 
+/// Returns a time given in seconds, rounded down to milliseconds. Thread safe.
+inline Milliseconds millisecondsOf(double seconds)
+{
+    return std::chrono::floor<Milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 /// Output parameter for the error of a call: the reason why the call returned no value. Each layer
 /// has its own `Code` and translates the codes of the layer below into its own.
 template <class Code> struct Reason
--- a/src/view_reader.cpp
+++ b/src/view_reader.cpp
@@ -4,6 +4,9 @@
 #include "log.h"
 #include "node_options.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace egret {
 
 namespace {
@@ -19,15 +22,37 @@
 /// are still in the network when the lease ends.
 constexpr int kLeaseNumerator = 4;
 constexpr int kLeaseDenominator = 5;
+// Intervals between polls of all registry instances while the state is not confirmed.
+constexpr Milliseconds kMinFullPollInterval = kViewPollInterval;
+constexpr Milliseconds kMaxFullPollInterval = 1200ms;
+
+/// Returns a number from 0 to 1 that differs between instances.
+double spreadOf(const std::string &instance)
+{
+    constexpr std::size_t steps = 1000;
+    return static_cast<double>(std::hash<std::string>{}(instance) % steps) / steps;
+}
 
 } // namespace
 
+bool FullPollBackoff::isDue(TimePoint now)
+{
+    if (this->interval > 0ms && now < this->nextAt)
+        return false;
+    this->interval = std::clamp(this->interval * 2, kMinFullPollInterval, kMaxFullPollInterval);
+    // From half of the interval to the whole.
+    this->nextAt =
+            now + std::chrono::duration_cast<Duration>(this->interval * (1 + this->spread) / 2);
+    return true;
+}
+
 ViewReader::ViewReader(const NodeSettings &settings, bool isGateway, LinkHub &hub,
                        ViewReaderHandlers handlers)
     : settings(settings), hub(hub), handlers(std::move(handlers)),
       state({ .instance = settings.instance,
               .isGateway = isGateway,
-              .lease = settings.bounds.revoke * kLeaseNumerator / kLeaseDenominator })
+              .lease = settings.bounds.revoke * kLeaseNumerator / kLeaseDenominator }),
+      fullPolls(spreadOf(settings.instance))
 {
     this->addRegistries(seedEndpoints(settings, true));
 }
@@ -43,20 +68,31 @@
     if (this->registries.empty())
         return;
     const TimePoint now = bootNow();
-    if (!this->state.isConfirmed(now)) {
-        // No client request can be served until a majority has confirmed the state, so all
-        // registry instances are polled.
-        for (const std::string &registry : this->registries)
-            this->hub.send(registry, Channel::control, this->state.makePull(registry, now));
+    if (this->state.isConfirmed(now)) {
+        this->fullPolls.reset();
+    } else if (this->fullPolls.isDue(now)) {
+        this->pollAll(now);
         return;
     }
-    auto next = this->registries.upper_bound(this->lastPolledRegistry);
+    // The first poll starts at a different registry instance on each reader.
+    auto next = this->lastPolledRegistry.empty()
+                        ? std::next(this->registries.begin(),
+                                    static_cast<std::ptrdiff_t>(
+                                            std::hash<std::string>{}(this->settings.instance)
+                                            % this->registries.size()))
+                        : this->registries.upper_bound(this->lastPolledRegistry);
     if (next == this->registries.end())
         next = this->registries.begin();
     this->lastPolledRegistry = *next;
     this->hub.send(*next, Channel::control, this->state.makePull(*next, now));
 }
 
+void ViewReader::pollAll(TimePoint now)
+{
+    for (const std::string &registry : this->registries)
+        this->hub.send(registry, Channel::control, this->state.makePull(registry, now));
+}
+
 void ViewReader::sendToAll(const Message &message)
 {
     for (const std::string &registry : this->registries)
