Heed what upstreams say of themselves: leaving and waiting, beside limits

Nothing read Server-Leaving, and the Retry-After of a refusal was only handed on. UpstreamStatements keeps what one incarnation of an upstream has said in its answers: limit, leaving, wait. Gateways feed it where an answer's head is read, also from answers that come too late for their request; heads are parsed once instead of twice. An upstream that leaves gets nothing more, and all gateways and registries learn it the way they learn limits (UpstreamReport takes the place of RequestLimitReport and names the incarnation). An upstream that asks to wait gets nothing from this machine until the wait ends, spread by up to 500 ms; requests that wait for a permit there go elsewhere at once. When all that are left wait, the request is refused at once with the least time left.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -55,6 +55,8 @@
 /// Retry-After value in the answer to a request that did not run, unless `UpstreamSelector`
 /// returned a time.
 constexpr Milliseconds kDefaultRetryAfter = 250ms;
+/// Longest time by which gateways differ in their return to an upstream that asked to wait.
+constexpr Milliseconds kMaxReturnSpread = 500ms;
 /// Retry-After value in the answer to a quarantined request or prompt segment. A quarantine
 /// that turns out to be wrong ends sooner; any other lasts for minutes.
 constexpr Milliseconds kQuarantineRetryAfter = 2s;
@@ -334,8 +336,9 @@
             this->selector.onLoadNotice(*notice, bootNow());
         else if (const auto *permit = std::get_if<PermitReply>(&frame.message))
             this->onPermitReply(*permit);
-        else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
-            this->onRequestLimit(limit->upstream, observationOf(*limit, bootNow()));
+        else if (const auto *report = std::get_if<UpstreamReport>(&frame.message))
+            this->onStatement(report->upstream, report->startedAtMs,
+                              statementOf(*report, bootNow()));
         else if (const auto *probe = std::get_if<SuspectProbeGrant>(&frame.message))
             this->quarantine.onProbeGranted(probe->suspect, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
@@ -814,6 +817,7 @@
         const auto isCurrentAttempt = [exchange, upstream = selection.upstream] {
             return !exchange->lifecycle.isOver() && exchange->upstream == upstream;
         };
+        const auto answer = std::make_shared<AnswerMetadata>();
         OutboundCall call{
             .to = selection.endpoint,
             .head = this->requestHead(*exchange, selection, now),
@@ -826,15 +830,21 @@
                          + kDiscardedAnswerGrace,
             .keepsConnection = selection.keepsConnection,
             .matchesRequest =
-                    [this, id = exchange->metadata.id](const HttpHead &head) {
-                        const AnswerMetadata metadata = this->protocol.parseAnswerHead(head);
-                        return metadata.id == id
-                               || (metadata.id.empty() && !isSuccess(head.status));
+                    [this, answer, id = exchange->metadata.id](const HttpHead &head) {
+                        *answer = this->protocol.parseAnswerHead(head);
+                        return answer->id == id || (answer->id.empty() && !isSuccess(head.status));
                     },
             .onHead =
-                    [this, exchange, isCurrentAttempt](const HttpHead &head) {
+                    [this, exchange, isCurrentAttempt, answer, sentAt = now,
+                     upstream = selection.upstream,
+                     startedAtMs = selection.startedAtMs](const HttpHead &head) {
+                        this->learn({ .upstream = upstream,
+                                      .startedAtMs = startedAtMs,
+                                      .request = exchange->metadata.id,
+                                      .sentAt = sentAt },
+                                    head.status, *answer);
                         if (isCurrentAttempt())
-                            this->onHead(exchange, head);
+                            this->onHead(exchange, head, *answer);
                     },
             .onBody =
                     [this, exchange, isCurrentAttempt](std::string &&part) {
@@ -881,11 +891,10 @@
 
     // Answers.
 
-    void onHead(const ExchangePtr &exchange, const HttpHead &head)
+    void onHead(const ExchangePtr &exchange, const HttpHead &head, const AnswerMetadata &answer)
     {
         exchange->head = head;
-        exchange->answer = this->protocol.parseAnswerHead(head);
-        this->learnRequestLimit(*exchange);
+        exchange->answer = answer;
         const bool isUsable = isSuccess(head.status) && exchange->answer.hasServerStamp
                               && !exchange->answer.isEncoded;
         const bool isOtherVersion = exchange->lifecycle.hasForwarded()
@@ -902,40 +911,76 @@
         }
     }
 
-    /// Learns from the head of an answer whether the upstream limits the rate of its requests.
-    void learnRequestLimit(const Exchange &exchange)
+    /// An attempt whose answer says something of the upstream.
+    struct AnsweredAttempt
     {
-        const AnswerMetadata &answer = exchange.answer;
-        if (exchange.head.status == kMisdirectedRequest)
+        std::string upstream;
+        std::uint64_t startedAtMs{ 0 };
+        std::string request;
+        TimePoint sentAt;
+    };
+
+    /// Learns what an upstream says of itself, also from an answer that comes too late for its
+    /// request, and tells the other gateways what they must know.
+    void learn(const AnsweredAttempt &attempt, int status, const AnswerMetadata &answer)
+    {
+        if (status == kMisdirectedRequest)
             return; // the answer of another instance at the upstream's address
-        if (answer.requestLimit) {
-            ++this->counters.limitedAnswers;
-            logInfo("answer names a request limit",
-                    { { "request", exchange.metadata.id },
-                      { "upstream", exchange.upstream },
-                      { "status", exchange.head.status },
-                      { "requestsPerSecond", *answer.requestLimit } });
-        } else if (!isSuccess(exchange.head.status) || !answer.hasServerStamp) {
-            return; // only an answer of the upstream to a request that it ran ends a limit
-        }
         const TimePoint now = bootNow();
-        const RequestLimitObservation observation{ .requestsPerSecond = answer.requestLimit,
-                                                   .requestSentAt = exchange.sentAt,
-                                                   .answeredAt = now };
-        if (this->onRequestLimit(exchange.upstream, observation))
-            this->viewReader.sendToAll(requestLimitReport(exchange.upstream, observation, now));
+        const UpstreamStatement statement{
+            .requestsPerSecond = answer.requestLimit,
+            .endsLimit = isSuccess(status) && answer.hasServerStamp,
+            .isLeaving = answer.isLeaving,
+            .wait = this->withReturnSpread(answer.wait),
+            .requestSentAt = attempt.sentAt,
+            .answeredAt = now,
+        };
+        this->counters.limitedAnswers += answer.requestLimit ? 1 : 0;
+        if (statement.wait > 0ms)
+            logInfo("upstream asks to wait", { { "request", attempt.request },
+                                               { "upstream", attempt.upstream },
+                                               { "waitMs", statement.wait.count() } });
+        if (this->onStatement(attempt.upstream, attempt.startedAtMs, statement))
+            this->viewReader.sendToAll(
+                    upstreamReport(attempt.upstream, attempt.startedAtMs, statement, now));
     }
 
-    /// Applies what an answer says, here or at another gateway; true when the limit changed.
-    bool onRequestLimit(const std::string &upstream, const RequestLimitObservation &answer)
+    /// Lengthens a wait by a random time, so that the gateways that were told to wait at the same
+    /// moment don't return at the same moment.
+    Milliseconds withReturnSpread(Milliseconds wait)
     {
-        if (!this->selector.onRequestLimit(upstream, answer))
-            return false;
-        logInfo("upstream's request limit changed",
-                { { "upstream", upstream },
-                  { "isLimited", answer.requestsPerSecond.has_value() },
-                  { "requestsPerSecond", answer.requestsPerSecond.value_or(0) } });
-        return true;
+        const Milliseconds most = std::min(kMaxReturnSpread, wait / 4);
+        std::uniform_int_distribution<Milliseconds::rep> spread(0, most.count());
+        return wait + Milliseconds(spread(this->randomGenerator));
+    }
+
+    /// Applies what an answer says, here or at another gateway; true when something changed that
+    /// other instances must know.
+    bool onStatement(const std::string &upstream, std::uint64_t startedAtMs,
+                     const UpstreamStatement &answer)
+    {
+        const bool isChanged = this->selector.onStatement(upstream, startedAtMs, answer);
+        if (isChanged)
+            logInfo("upstream's statements changed",
+                    { { "upstream", upstream },
+                      { "isLeaving", answer.isLeaving },
+                      { "isLimited", answer.requestsPerSecond.has_value() },
+                      { "requestsPerSecond", answer.requestsPerSecond.value_or(0) } });
+        if (answer.isLeaving || answer.wait > 0ms)
+            this->releasePermitWaits(upstream);
+        return isChanged;
+    }
+
+    /// Sends the requests that wait for a permit for this upstream elsewhere.
+    void releasePermitWaits(const std::string &upstream)
+    {
+        std::vector<std::uint64_t> ids;
+        for (const auto &[id, wait] : this->permitWaits) {
+            if (wait.selection.upstream == upstream)
+                ids.push_back(id);
+        }
+        for (const std::uint64_t id : ids)
+            this->onPermitReply({ .callId = id });
     }
 
     void onBody(const ExchangePtr &exchange, std::string &&part)
--- a/src/gateway_protocol.h
+++ b/src/gateway_protocol.h
@@ -42,6 +42,8 @@
     std::uint64_t version{ 0 };   ///< weights version that generated the answer, 0 for none
     /// Requests a second that the upstream takes from all gateways together; empty: no limit.
     std::optional<double> requestLimit;
+    bool isLeaving{ false }; ///< the upstream states that it is about to end
+    Milliseconds wait{ 0 };  ///< time for which a refusal asks for no further requests; 0: none
 };
 
 /// Maps one deployment's HTTP headers and document (the operators' configuration of routes,
--- a/src/registry.h
+++ b/src/registry.h
@@ -55,8 +55,8 @@
     /// of slow start, is reduced to the value at `now`.
     std::vector<UpstreamRecord> changesSince(std::uint64_t changeNumber, TimePoint now) const;
 
-    /// True when the upstream is known, also when it has departed.
-    bool contains(const std::string &id) const { return this->records.find(id) != nullptr; }
+    /// Returns the record of an upstream, also of a departed one; null when it is unknown.
+    const UpstreamRecord *find(const std::string &id) const { return this->records.find(id); }
 
     /// Number of known upstreams, including departed upstreams.
     std::size_t size() const { return this->records.all().size(); }
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -8,8 +8,8 @@
 #include "program.h"
 #include "quarantine_control.h"
 #include "registry.h"
-#include "request_limit.h"
 #include "slow_start_permits.h"
+#include "upstream_statements.h"
 #include "view_schedule.h"
 
 #include <asio/post.hpp>
@@ -73,6 +73,13 @@
     TimePoint resendAt;
 };
 
+/// What one incarnation of an upstream has said of itself.
+struct IncarnationStatements
+{
+    std::uint64_t startedAtMs{ 0 };
+    UpstreamStatements statements;
+};
+
 /// Returns the number of a text in the operators' state; empty when there is no such text.
 std::optional<std::uint64_t> numberOf(const OperatorState &state, const std::string &textName)
 {
@@ -201,7 +208,7 @@
         appendMetric("votes", status.role == QuorumRole::voter ? 1 : 0);
         appendMetric("voters", status.voters);
         appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
-        appendMetric("limited_upstreams", std::ranges::count_if(this->requestLimits, isLimited));
+        appendMetric("limited_upstreams", std::ranges::count_if(this->statements, isLimited));
         appendMetric("segment_crashes_total", this->crashReportCount);
         appendMetric("quarantined_segments", parseQuarantineText(this->quarantine().text).size());
         appendMetric("calls_total", this->lastCallId);
@@ -228,8 +235,8 @@
             this->finishCall(reply->callId, reply->result);
         else if (const auto *permit = std::get_if<PermitRequest>(&frame.message))
             this->onPermitRequest(link, *permit);
-        else if (const auto *limit = std::get_if<RequestLimitReport>(&frame.message))
-            this->onRequestLimit(*limit);
+        else if (const auto *report = std::get_if<UpstreamReport>(&frame.message))
+            this->onUpstreamReport(*report);
         else if (const auto *crash = std::get_if<CrashReport>(&frame.message))
             this->onCrashReport(*crash);
         else if (const auto *begun = std::get_if<SuspectsBegun>(&frame.message))
@@ -278,7 +285,7 @@
                    .documentNumber = pull.documentNumber };
         if (isNewGateway) {
             this->countGateways(reader.lastPullAt);
-            this->sendRequestLimits(reader);
+            this->sendStatements(reader);
         }
         this->schedule.onPull(pull.instance,
                               { .sentAt = pull.sentAt, .wantsDocument = pull.wantsDocument },
@@ -457,22 +464,28 @@
                                 .retryAfter = decision.retryAfter });
     }
 
-    // Limits that upstreams have on the rate of their requests.
+    // What upstreams say of themselves in their answers.
 
-    static bool isLimited(const std::pair<const std::string, RequestLimit> &each)
+    static bool isLimited(const std::pair<const std::string, IncarnationStatements> &each)
     {
-        return each.second.inForce().has_value();
+        return each.second.statements.requestLimit().has_value();
     }
 
     /// Applies what a gateway learned from an answer, and tells the other gateways of a change.
-    void onRequestLimit(const RequestLimitReport &report)
+    void onUpstreamReport(const UpstreamReport &report)
     {
         const TimePoint now = bootNow();
-        if (!this->registry.contains(report.upstream)
-            || !this->requestLimits[report.upstream].onAnswer(observationOf(report, now)))
+        const UpstreamRecord *record = this->registry.find(report.upstream);
+        if (record == nullptr || report.startedAtMs < record->startedAtMs)
             return;
-        logInfo("upstream's request limit changed",
+        IncarnationStatements &known = this->statements[report.upstream];
+        if (known.startedAtMs != report.startedAtMs)
+            known = { .startedAtMs = report.startedAtMs };
+        if (!known.statements.onAnswer(statementOf(report, now)))
+            return;
+        logInfo("upstream's statements changed",
                 { { "upstream", report.upstream },
+                  { "isLeaving", report.isLeaving },
                   { "isLimited", report.isLimited },
                   { "requestsPerSecond", report.requestsPerSecond } });
         for (const auto &[name, reader] : this->readers) {
@@ -481,12 +494,12 @@
         }
     }
 
-    void sendRequestLimits(const Reader &reader)
+    void sendStatements(const Reader &reader)
     {
         const TimePoint now = bootNow();
-        for (const auto &[upstream, limit] : this->requestLimits) {
-            if (limit.inForce())
-                reader.link->send(requestLimitReport(upstream, *limit.inForce(), now));
+        for (const auto &[upstream, known] : this->statements) {
+            if (known.statements.isWorthTelling())
+                reader.link->send(known.statements.report(upstream, known.startedAtMs, now));
         }
     }
 
@@ -661,8 +674,10 @@
         if (this->registry.tick(now))
             this->schedule.onChange();
         this->sendDueViews();
-        std::erase_if(this->requestLimits,
-                      [this](const auto &each) { return !this->registry.contains(each.first); });
+        std::erase_if(this->statements, [this](const auto &each) {
+            const UpstreamRecord *record = this->registry.find(each.first);
+            return record == nullptr || record->startedAtMs > each.second.startedAtMs;
+        });
     }
 
     const NodeSettings settings;
@@ -690,7 +705,7 @@
     TimePoint issuesPermitsSince;            ///< begin of `permitTerm`
     std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
     std::uint64_t permitCount{ 0 };
-    std::map<std::string, RequestLimit> requestLimits; ///< by upstream
+    std::map<std::string, IncarnationStatements> statements; ///< by upstream
     QuarantineControl quarantineControl;
     std::uint64_t crashReportCount{ 0 };
 };
--- a/src/request_limit.cpp
+++ b/src/request_limit.cpp
@@ -21,22 +21,4 @@
     return true;
 }
 
-RequestLimitReport requestLimitReport(const std::string &upstream,
-                                      const RequestLimitObservation &answer, TimePoint now)
-{
-    return { .upstream = upstream,
-             .isLimited = answer.requestsPerSecond.has_value(),
-             .requestsPerSecond = answer.requestsPerSecond.value_or(0),
-             .requestAge = std::chrono::floor<Milliseconds>(now - answer.requestSentAt),
-             .answerAge = std::chrono::floor<Milliseconds>(now - answer.answeredAt) };
-}
-
-RequestLimitObservation observationOf(const RequestLimitReport &report, TimePoint now)
-{
-    return { .requestsPerSecond =
-                     report.isLimited ? std::optional(report.requestsPerSecond) : std::nullopt,
-             .requestSentAt = now - report.requestAge,
-             .answeredAt = now - report.answerAge };
-}
-
 } // namespace egret
--- a/src/request_limit.h
+++ b/src/request_limit.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "generated/messages.h"
 #include "types.h"
 
 #include <optional>
@@ -37,10 +36,4 @@
     }; ///< sending of the request that ended the last limit
 };
 
-/// Converts an observation to a message for another instance and back. `now`: time of sending or
-/// arrival by this instance's clock. Thread safe.
-RequestLimitReport requestLimitReport(const std::string &upstream,
-                                      const RequestLimitObservation &answer, TimePoint now);
-RequestLimitObservation observationOf(const RequestLimitReport &report, TimePoint now);
-
 } // namespace egret
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -97,6 +97,8 @@
         UpstreamStats stats;
         TimePoint slowStartUntil;
         std::vector<std::string> requestLimits; ///< header values, see `setEngineRequestLimit`
+        std::string leaving;                    ///< header value, see `setEngineLeaving`
+        std::string retryAfter;                 ///< header value, see `setEngineRefusal`
         std::map<std::size_t, std::string> stagedPieces; ///< contents by piece number
         std::vector<Stream> streams;
         std::optional<std::uint64_t> pendingLoadVersion; ///< version of the pending load order
@@ -163,7 +165,7 @@
         const auto finish = [this, &service, path, headers, reply, isCrashing] {
             if (isCrashing)
                 return this->crash(service);
-            reply->send(200, "text/plain", path + " done", withRequestLimit(headers, service));
+            reply->send(200, "text/plain", path + " done", withStatements(headers, service));
         };
         if (this->options.prefillTime == 0ms)
             return finish();
@@ -191,10 +193,15 @@
         const bool isCrashing = this->isCrashing(request, metadata);
         if (isCrashing)
             this->crashStats.arrivals.push_back(now);
+        if (!upstream.retryAfter.empty()) {
+            auto headers = platform::standinRefusalHeaders(metadata.id);
+            headers.emplace_back("Retry-After", upstream.retryAfter);
+            return reply->send(503, "", "", withStatements(std::move(headers), upstream));
+        }
         if (upstream.streams.size() >= kSlotsPerUpstream || upstream.pendingLoadVersion)
             return reply->send(
                     503, "", "",
-                    withRequestLimit(platform::standinRefusalHeaders(metadata.id), upstream));
+                    withStatements(platform::standinRefusalHeaders(metadata.id), upstream));
         ++upstream.stats.runsByRequestId[metadata.id];
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
@@ -209,11 +216,13 @@
         this->endlessAnswerCount += upstream.streams.back().isEndless ? 1 : 0;
     }
 
-    /// Adds the limit that an upstream has on the rate of its requests to the headers of an answer.
-    static HttpHeaders withRequestLimit(HttpHeaders headers, const Upstream &upstream)
+    /// Adds what an upstream says of itself to the headers of an answer.
+    static HttpHeaders withStatements(HttpHeaders headers, const Upstream &upstream)
     {
         for (const std::string &value : upstream.requestLimits)
             headers.push_back(platform::standinRequestLimitHeader(value));
+        if (!upstream.leaving.empty())
+            headers.push_back(platform::standinLeavingHeader(upstream.leaving));
         return headers;
     }
 
@@ -296,7 +305,7 @@
                 return this->crash(engine);
             if (!std::exchange(stream.hasBegun, true))
                 stream.reply->start(200, "text/event-stream",
-                                    withRequestLimit(stream.headers, engine));
+                                    withStatements(stream.headers, engine));
             if (stream.isEndless)
                 stream.reply->write(std::string(kEndlessBytesPerStep, 'x'));
             else
@@ -640,6 +649,21 @@
     this->impl->pool.run([&] { this->impl->services.at(service)->requestLimits = values; });
 }
 
+void Deployment::setEngineLeaving(std::uint32_t engine, const std::string &value)
+{
+    this->impl->pool.run([&] { this->impl->engines.at(engine)->leaving = value; });
+}
+
+void Deployment::setEngineRefusal(std::uint32_t engine, const std::string &retryAfter)
+{
+    this->impl->pool.run([&] { this->impl->engines.at(engine)->retryAfter = retryAfter; });
+}
+
+void Deployment::setServiceRefusal(std::uint32_t service, const std::string &retryAfter)
+{
+    this->impl->pool.run([&] { this->impl->services.at(service)->retryAfter = retryAfter; });
+}
+
 void Deployment::startSlowStart(Milliseconds duration)
 {
     this->impl->pool.run([&] {
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -151,6 +151,15 @@
     void setEngineRequestLimit(std::uint32_t engine, const std::vector<std::string> &values);
     void setServiceRequestLimit(std::uint32_t service, const std::vector<std::string> &values);
 
+    /// All answers of an engine say, by a header with this value, whether the engine is about to
+    /// end. Empty: no header.
+    void setEngineLeaving(std::uint32_t engine, const std::string &value);
+
+    /// An engine, or a service, refuses all requests and asks, by a header with this value, for no
+    /// request for some time. Empty: it runs them again.
+    void setEngineRefusal(std::uint32_t engine, const std::string &retryAfter);
+    void setServiceRefusal(std::uint32_t service, const std::string &retryAfter);
+
     /// Puts all engines and services in slow start; their announcements say so for `duration`.
     void startSlowStart(Milliseconds duration);
 
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -68,6 +68,8 @@
         return "slow-start";
     case NoUpstreamReason::failing:
         return "failing";
+    case NoUpstreamReason::waiting:
+        return "upstreams-wait";
     }
     return "unknown";
 }
@@ -131,17 +133,18 @@
         upstream.recentRequests.pop_front();
 }
 
-bool UpstreamSelector::onRequestLimit(const std::string &upstream,
-                                      const RequestLimitObservation &answer)
+bool UpstreamSelector::onStatement(const std::string &upstream, std::uint64_t startedAtMs,
+                                   const UpstreamStatement &answer)
 {
     const auto found = this->upstreams.find(upstream);
-    return found != this->upstreams.end() && found->second.requestLimit.onAnswer(answer);
+    return found != this->upstreams.end() && found->second.record.startedAtMs == startedAtMs
+           && found->second.statements.onAnswer(answer);
 }
 
 std::size_t UpstreamSelector::limitedCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->upstreams, [](const auto &each) {
-        return each.second.requestLimit.inForce().has_value();
+        return each.second.statements.requestLimit().has_value();
     }));
 }
 
@@ -166,6 +169,7 @@
     std::vector<Candidate> lastResort;
     Selection selection{ .problem = NoUpstreamReason::unknown, .retryAfter = kMaxRetryAfter };
     std::optional<TimePoint> nextPermitAt;
+    std::optional<TimePoint> nextWaitEnd;
     for (auto &[id, upstream] : this->upstreams) {
         if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
             || !this->servesVersion(upstream, query, requiredVersion, now))
@@ -174,6 +178,11 @@
         selection.retryAfter = kMinRetryAfter * 5;
         if (query.excluded.contains(id))
             continue;
+        if (now < upstream.statements.waitEnd()) {
+            nextWaitEnd =
+                    std::min(nextWaitEnd.value_or(TimePoint::max()), upstream.statements.waitEnd());
+            continue;
+        }
         const bool isEngine = query.plan != nullptr && query.plan->engine;
         const Candidate candidate = isEngine ? this->scoreEngine(id, upstream, query, now)
                                              : this->scorePlain(id, upstream, query, now);
@@ -196,7 +205,11 @@
     if (candidates.empty() && query.mayRunTwice)
         candidates = lastResort;
     if (candidates.empty()) {
-        if (nextPermitAt) {
+        if (nextWaitEnd && (!nextPermitAt || *nextWaitEnd < *nextPermitAt)) {
+            selection.problem = NoUpstreamReason::waiting;
+            selection.retryAfter =
+                    std::max(kMinRetryAfter, std::chrono::ceil<Milliseconds>(*nextWaitEnd - now));
+        } else if (nextPermitAt) {
             selection.problem = NoUpstreamReason::slowStart;
             selection.retryAfter = std::clamp(std::chrono::ceil<Milliseconds>(*nextPermitAt - now),
                                               kMinRetryAfter, kMaxRetryAfter);
@@ -232,6 +245,7 @@
             connectionLimit * this->options.connectionShare / this->gatewayCount;
     selection = {
         .upstream = *selected.id,
+        .startedAtMs = upstream.record.startedAtMs,
         .endpoint = upstream.endpoint,
         .version = this->reportedVersion(upstream, now),
         .maxConnections =
@@ -252,7 +266,8 @@
 bool UpstreamSelector::isAllowed(const Upstream &upstream, const SelectionQuery &query) const
 {
     const UpstreamRecord &record = upstream.record;
-    if (record.notice != AnnouncedState::ready || this->zonesOut.contains(record.zone))
+    if (record.notice != AnnouncedState::ready || upstream.statements.isLeaving()
+        || this->zonesOut.contains(record.zone))
         return false;
     const auto region = this->options.regions.find(record.zone);
     const std::string regionName = region == this->options.regions.end() ? "" : region->second;
@@ -293,6 +308,7 @@
         return query.version.minimum;
     const bool isPreferredServed = std::ranges::any_of(this->upstreams, [&](const auto &each) {
         return each.second.record.service == query.service && this->isAllowed(each.second, query)
+               && each.second.statements.takesRequests(now)
                && this->servesVersion(each.second, query, query.version.preferred, now);
     });
     return isPreferredServed ? query.version.preferred : query.version.minimum;
@@ -327,7 +343,7 @@
     if ((hasRestarted || now < upstream.slowStartUntil) && query.plan != nullptr
         && query.plan->coldRequestsPerSecond > 0)
         rate = query.plan->coldRequestsPerSecond;
-    if (const auto &limit = upstream.requestLimit.inForce()) {
+    if (const auto &limit = upstream.statements.requestLimit()) {
         const double limitedRate = std::max(*limit->requestsPerSecond, kMinLimitedRate);
         rate = std::min(rate.value_or(limitedRate), limitedRate);
     }
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "outlier.h"
-#include "request_limit.h"
 #include "serving_plan.h"
+#include "upstream_statements.h"
 #include "version_deadlines.h"
 
 #include <deque>
@@ -71,6 +71,7 @@
     /// Upstreams are left that need a permit, and none can be had now; all others are unavailable.
     slowStart,
     failing, ///< no allowed upstream can be tried now, see `UpstreamSelector::choose`
+    waiting, ///< the upstreams that are left want nothing for now
 };
 
 /// Name of a reason in log fields and error responses.
@@ -80,6 +81,7 @@
 struct Selection
 {
     std::string upstream; ///< id of the selected upstream; empty when no upstream is selected
+    std::uint64_t startedAtMs{ 0 }; ///< names the incarnation of `upstream`
     Endpoint endpoint;
     std::uint64_t version{ 0 };        ///< version of the weights that the upstream reported
     std::uint32_t maxConnections{ 0 }; ///< connections that this gateway may open to the upstream
@@ -121,9 +123,10 @@
     /// Stores the load notice of an engine.
     void onLoadNotice(const LoadNotice &notice, TimePoint now);
 
-    /// Applies what an answer of an upstream says of the rate of its requests; true when the
-    /// upstream's limit changed.
-    bool onRequestLimit(const std::string &upstream, const RequestLimitObservation &answer);
+    /// Applies what an answer of an incarnation of an upstream, named by its start, says of the
+    /// upstream; true when something changed that other instances must know.
+    bool onStatement(const std::string &upstream, std::uint64_t startedAtMs,
+                     const UpstreamStatement &answer);
 
     /// Sets the state of the network path to an engine's machine.
     void setPath(const std::string &endpoint, const UpstreamPath &path);
@@ -136,8 +139,9 @@
 
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
-    /// before the request starts, or, if a permit is needed, without a link to the issuer of
-    /// permits or until the retry time of a refused permit. An upstream that is ejected, or in
+    /// before the request starts, if it has said
+    /// that it leaves or wants nothing now, or, if a permit is needed, without a link to the issuer
+    /// of permits or until the retry time of a refused permit. An upstream that is ejected, or in
     /// cooldown after a refusal, is tried only as a last resort, and only for a request that may
     /// run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
@@ -177,7 +181,7 @@
         UpstreamRecord record;
         Endpoint endpoint;
         TimePoint slowStartUntil;
-        RequestLimit requestLimit;
+        UpstreamStatements statements;
         LoadNotice loadNotice;
         TimePoint noticeReceivedAt;
         bool hasNotice{ false };
--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -52,18 +52,6 @@
     EXPECT_TRUE(limit.inForce().has_value());
 }
 
-TEST(RequestLimit, SurvivesTheWayToAnotherInstance)
-{
-    const RequestLimitObservation seen = answer(0.5, 0ms, 20ms);
-    const auto report = requestLimitReport("u", seen, kStart + 30ms);
-    const RequestLimitObservation heard = observationOf(report, kStart + 30ms);
-    EXPECT_EQ(heard.requestsPerSecond, seen.requestsPerSecond);
-    EXPECT_EQ(heard.requestSentAt, seen.requestSentAt);
-    EXPECT_EQ(heard.answeredAt, seen.answeredAt);
-    const auto ended = requestLimitReport("u", answer(std::nullopt, 0ms, 20ms), kStart + 30ms);
-    EXPECT_FALSE(observationOf(ended, kStart + 30ms).requestsPerSecond.has_value());
-}
-
 // Guards against a belief that depends on the order in which gateways hear of answers.
 TEST(RequestLimit, FuzzedOrderEndsWithWhatTheUpstreamSaidLast)
 {
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -249,10 +249,12 @@
     cold.coldFor = 3s;
     this->selector.onRecord(cold, kStart);
     const double coldRate = this->selector.choose(this->query(), kStart + 1ms).permitRate.value();
-    const auto nameLimit = [this](std::optional<double> limit, Milliseconds at) {
-        return this->selector.onRequestLimit("e1", { .requestsPerSecond = limit,
-                                                     .requestSentAt = kStart + at,
-                                                     .answeredAt = kStart + at + 1ms });
+    const auto nameLimit = [&](std::optional<double> limit, Milliseconds at) {
+        return this->selector.onStatement("e1", cold.startedAtMs,
+                                          { .requestsPerSecond = limit,
+                                            .endsLimit = true,
+                                            .requestSentAt = kStart + at,
+                                            .answeredAt = kStart + at + 1ms });
     };
     EXPECT_TRUE(nameLimit(coldRate + 1, 10ms));
     EXPECT_EQ(this->selector.choose(this->query(), kStart + 20ms).permitRate, coldRate);
@@ -268,8 +270,9 @@
 TEST_F(UpstreamSelectorTest, UpstreamThatTakesNoRequestsStillGetsSingleOnes)
 {
     this->selector.onRecord(this->record(1), kStart);
-    this->selector.onRequestLimit(
-            "e1", { .requestsPerSecond = 0, .requestSentAt = kStart, .answeredAt = kStart });
+    this->selector.onStatement(
+            "e1", this->record(1).startedAtMs,
+            { .requestsPerSecond = 0, .requestSentAt = kStart, .answeredAt = kStart });
     const auto rate = this->selector.choose(this->query(), kStart + 1s).permitRate;
     ASSERT_TRUE(rate.has_value());
     EXPECT_GT(*rate, 0);
@@ -280,8 +283,9 @@
 TEST_F(UpstreamSelectorTest, RestartForgetsTheNamedLimit)
 {
     this->selector.onRecord(this->record(1), kStart);
-    this->selector.onRequestLimit(
-            "e1", { .requestsPerSecond = 1, .requestSentAt = kStart, .answeredAt = kStart });
+    this->selector.onStatement(
+            "e1", this->record(1).startedAtMs,
+            { .requestsPerSecond = 1, .requestSentAt = kStart, .answeredAt = kStart });
     UpstreamRecord restarted = this->record(1);
     restarted.startedAtMs += 5000;
     this->selector.onRecord(restarted, kStart + 1s);
