Send other regions the load notices that matter; fewer heartbeats between regions

Cause: every stager has a link to every gateway.

LoadNoticeSchedule decides per gateway: in the engine's region every change, elsewhere changes of three requests or of an empty queue at 300 ms at most, and otherwise one a second. Heartbeats between regions every 900 ms instead of 500 ms.

--- a/src/link.cpp
+++ b/src/link.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds kInitialConnectTimeout = 300ms;
 constexpr Milliseconds kMaxConnectTimeout = 1500ms;
 constexpr Milliseconds kHeartbeatPeriod = 500ms;
+/// Period between regions, where the bandwidth is low and most of the links are idle.
+constexpr Milliseconds kRemoteHeartbeatPeriod = 900ms;
 constexpr Milliseconds kSilenceTimeout = 2s;
 /// Bytes queued on a link above which further messages are refused.
 constexpr std::size_t kMaxQueuedBytes = 16U << 20U;
@@ -392,7 +394,7 @@
     {
         const bool isConnecting = this->isInitiator && !this->incomingSealer;
         this->timer.expires_after(isConnecting ? this->shared->connectTimeout(this->targetName)
-                                               : kHeartbeatPeriod);
+                                               : this->heartbeatPeriod());
         this->timer.async_wait(asio::bind_executor(
                 this->strand, [self = this->shared_from_this()](const std::error_code &error) {
                     if (error || self->isDown)
@@ -424,6 +426,15 @@
                 }));
     }
 
+    Milliseconds heartbeatPeriod() const
+    {
+        const std::lock_guard lock(this->peerMutex);
+        const std::string &region = this->peerHello.region;
+        return region.empty() || region == this->shared->options.self.region
+                       ? kHeartbeatPeriod
+                       : kRemoteHeartbeatPeriod;
+    }
+
     void sendPing()
     {
         {
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "digest.h"
 #include "http_pool.h"
+#include "load_notice_schedule.h"
 #include "log.h"
 #include "manifest_sources.h"
 #include "node_options.h"
@@ -27,12 +28,6 @@
 /// values in the report.
 constexpr Milliseconds kReportPeriod = 100ms;
 constexpr Milliseconds kReportTimeout = 500ms;
-/// An unchanged load notice is repeated at this interval to show gateways that the notice is still
-/// valid.
-constexpr Milliseconds kNoticeRepeatPeriod = 500ms;
-/// Shortest interval between load notices with changed request counts to a gateway in another
-/// region: links between regions have little bandwidth.
-constexpr Milliseconds kRemoteNoticePeriod = 300ms;
 constexpr Milliseconds kStagingPeriod = 20ms;
 constexpr Milliseconds kPeerRefreshPeriod = 200ms;
 constexpr Milliseconds kEngineCallTimeout = 1s;
@@ -208,7 +203,7 @@
     void onDown(const LinkPtr &link)
     {
         this->viewReader.onDown(link);
-        this->noticeReceivers.erase(link);
+        this->noticeSchedules.erase(link);
         this->manifestWaiters.erase(link);
     }
 
@@ -329,8 +324,7 @@
 
     /// Sends load notices to the gateways that need a notice now. A change of the engine's
     /// usability or weights version is sent at once. A change of the numbers of queued or running
-    /// requests is sent when the minimum interval since the last notice to the gateway has passed.
-    /// Without changes, a notice is sent every `kNoticeRepeatPeriod`.
+    /// requests is sent as `LoadNoticeSchedule` tells.
     void sendLoadNotices()
     {
         LoadNotice notice{ .endpoint = this->settings.engineAddress };
@@ -348,19 +342,13 @@
         }
         const bool isUrgent = notice.isUsable != this->lastNotice.isUsable
                               || notice.version != this->lastNotice.version;
-        const bool isChanged = isUrgent || notice.queued != this->lastNotice.queued
-                               || notice.active != this->lastNotice.active;
         this->lastNotice = notice;
         const TimePoint now = bootNow();
-        for (auto &[link, receiver] : this->noticeReceivers) {
-            receiver.hasUnsentChange = receiver.hasUnsentChange || isChanged;
-            const Milliseconds minInterval = receiver.isRemote ? kRemoteNoticePeriod : 0ms;
-            const bool maySendChange =
-                    receiver.hasUnsentChange && now >= receiver.sentAt + minInterval;
-            if (!isUrgent && !maySendChange && now < receiver.sentAt + kNoticeRepeatPeriod)
+        for (auto &[link, schedule] : this->noticeSchedules) {
+            if (!isUrgent && !schedule.isDue(notice.queued, notice.active, now))
                 continue;
             link->send(notice);
-            receiver = { .isRemote = receiver.isRemote, .sentAt = now };
+            schedule.onSent(notice.queued, notice.active, now);
         }
     }
 
@@ -1080,20 +1068,11 @@
         }
         for (const LinkPtr &link : this->hub.peers(Role::entry)) {
             const bool isRemote = link->peer().region != this->settings.region;
-            if (this->noticeReceivers.try_emplace(link, NoticeReceiver{ .isRemote = isRemote })
-                        .second)
+            if (this->noticeSchedules.try_emplace(link, isRemote).second)
                 link->send(this->lastNotice);
         }
     }
 
-    /// A gateway that receives load notices.
-    struct NoticeReceiver
-    {
-        bool isRemote{ false };        ///< the gateway is in another region
-        bool hasUnsentChange{ false }; ///< the load changed since the last notice to this gateway
-        TimePoint sentAt;              ///< time of the last notice
-    };
-
     struct PendingCall
     {
         CallResult result;
@@ -1115,7 +1094,7 @@
     Staging staging;
     Endpoint engineEndpoint;
     std::set<std::shared_ptr<PendingCall>> pendingCalls;
-    std::map<LinkPtr, NoticeReceiver> noticeReceivers;
+    std::map<LinkPtr, LoadNoticeSchedule> noticeSchedules; ///< by link to a gateway
 
     std::uint64_t documentNumber{ 0 };
     std::optional<EngineSpec> engineSpec;
