Forget assumed requests of other gateways when no notice confirms them

For each request that a gateway sends to an engine, three quarters of all gateways are assumed to do the same until the engine's next notice: 74 requests at large's 99 gateways. Since unchanged loads are told elsewhere once a second, such an engine would look full for that long. A stager tells a change of three requests within 300 ms, so after 400 ms without a notice the other requests did not come.

Test: an engine with two active requests and one just sent is refused as busy 200 ms later and chosen 600 ms later; before, it stayed busy until the next notice.

--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -18,6 +18,9 @@
 /// assumed to send a request to the same upstream, because all gateways have the same load
 /// notice.
 constexpr double kSameUpstreamGatewayShare = 0.75;
+/// Time after which the requests of other gateways are no longer assumed: a stager would have told
+/// of a load that has changed by more than a few requests.
+constexpr Milliseconds kAssumedRequestLifetime = 400ms;
 /// Age up to which sent requests are remembered, to add to the load those that a notice lacks.
 constexpr Milliseconds kRecentWindow = 1s;
 /// Margin for errors of the predicted time to the first token, applied when the weights of an
@@ -375,7 +378,7 @@
         for (const SentRequest &sent : upstream.recentRequests) {
             if (sent.sentAt < upstream.noticeReceivedAt - kLoadNoticeLag)
                 continue;
-            load.queued += sendingGateways;
+            load.queued += now < sent.sentAt + kAssumedRequestLifetime ? sendingGateways : 1.0;
             load.promptTokens += sent.promptTokens;
         }
     }
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -224,6 +224,18 @@
     EXPECT_EQ(this->selector.choose(this->query(), kStart + 3s).upstream, "e1");
 }
 
+// Guards against an engine that is avoided until its next notice, since the requests that other
+// gateways were assumed to send never came.
+TEST_F(UpstreamSelectorTest, AssumedRequestsOfOtherGatewaysAreForgottenWithoutANotice)
+{
+    this->selector.setGatewayCount(99);
+    this->selector.onRecord(this->record(1), kStart);
+    this->sendLoadNotice(1, 2, 0);
+    this->selector.onSent("e1", 979, kStart + 10ms);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 200ms).problem, NoUpstreamReason::busy);
+    EXPECT_EQ(this->selector.choose(this->query(), kStart + 600ms).upstream, "e1");
+}
+
 TEST_F(UpstreamSelectorTest, RestartedEngineNeedsPermitsBeforeItsAnnouncementArrives)
 {
     this->selector.onRecord(this->record(1), kStart);
--- a/tests/view_schedule_test.cpp
+++ b/tests/view_schedule_test.cpp
@@ -25,7 +25,7 @@
         for (; this->now < TimePoint(end); this->now += 1ms) {
             const auto at = std::chrono::floor<Milliseconds>(this->now.time_since_epoch());
             for (std::uint32_t reader = 0; reader < kReaderCount; ++reader) {
-                if (at % kPullPeriod == (reader * 37 % kPullPeriod.count()) * 1ms)
+                if (at % kPullPeriod == 37ms * reader % kPullPeriod)
                     this->schedule.onPull("r" + std::to_string(reader), { .sentAt = at },
                                           this->now);
             }
