Tell a started gateway of upstreams' statements after its first view

Cause: sent the statements when the gateway's pull arrived and the view, under its rate, later. A gateway ignores statements of upstreams that it doesn't know, so one that had restarted could ask an upstream that leaves, or miss a limit, until an answer told it again.

--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -62,6 +62,9 @@
     std::uint64_t change{ 0 };         ///< number of the last upstream change sent
     std::uint64_t stateIndex{ 0 };     ///< log index of the operators' state sent last
     std::uint64_t documentNumber{ 0 }; ///< number of the document that the reader holds
+    /// What upstreams say of themselves was not sent yet. It is sent after a view, because a
+    /// gateway ignores statements of upstreams that it doesn't know.
+    bool lacksStatements{ false };
 };
 
 /// A command or query that waits for the leader's result.
@@ -282,11 +285,10 @@
                    .lastPullAt = bootNow(),
                    .change = isSameIncarnation ? pull.change : 0,
                    .stateIndex = pull.stateIndex,
-                   .documentNumber = pull.documentNumber };
-        if (isNewGateway) {
+                   .documentNumber = pull.documentNumber,
+                   .lacksStatements = reader.lacksStatements || isNewGateway };
+        if (isNewGateway)
             this->countGateways(reader.lastPullAt);
-            this->sendStatements(reader);
-        }
         this->schedule.onPull(pull.instance,
                               { .sentAt = pull.sentAt, .wantsDocument = pull.wantsDocument },
                               reader.lastPullAt);
@@ -332,6 +334,8 @@
             return;
         reader.change = view.change;
         reader.stateIndex = std::max(reader.stateIndex, this->appliedState->index);
+        if (std::exchange(reader.lacksStatements, false))
+            this->sendStatements(reader);
     }
 
     NumberedText document() const
--- a/tests/registry_fanout_test.cpp
+++ b/tests/registry_fanout_test.cpp
@@ -28,6 +28,8 @@
     {
         std::unique_ptr<LinkHub> hub;
         std::unique_ptr<ViewReader> views;
+        bool hasStatement{ false };            ///< a statement of an upstream has arrived
+        bool knewUpstreamOfStatement{ false }; ///< a view had named its upstream before
     };
 
     void SetUp() override
@@ -79,6 +81,15 @@
                 this->pool, options,
                 LinkHandlers{ .onFrame =
                                       [this, index](const LinkPtr &link, Frame &&frame) {
+                                          Reader &reader = this->readers[index];
+                                          if (const auto *report =
+                                                      std::get_if<UpstreamReport>(&frame.message)) {
+                                              reader.hasStatement = true;
+                                              reader.knewUpstreamOfStatement =
+                                                      reader.views->view().upstreams().find(
+                                                              report->upstream)
+                                                      != nullptr;
+                                          }
                                           const auto *view = std::get_if<View>(&frame.message);
                                           if (view == nullptr)
                                               return;
@@ -92,6 +103,19 @@
                                     .upstreamChanged = [](const UpstreamRecord &) {} });
     }
 
+    void announce(std::uint32_t upstream)
+    {
+        asio::post(this->registry->context(), [this, upstream] {
+            this->registry->announce({ .id = "upstream" + std::to_string(upstream),
+                                       .startedAtMs = 1,
+                                       .sequence = 1,
+                                       .service = "service",
+                                       .endpoint = "127.0.2." + std::to_string(upstream + 1) + ":1",
+                                       .zone = "a",
+                                       .notice = AnnouncedState::ready });
+        });
+    }
+
     template <class Condition> bool waitUntil(Condition holds)
     {
         const TimePoint deadline = bootNow() + 10s;
@@ -117,21 +141,30 @@
 
 } // namespace
 
+// Guards against statements that reach a started gateway before it knows the upstream, and are
+// lost.
+TEST_F(RegistryFanout, NewGatewayIsToldOfStatementsAfterItsFirstView)
+{
+    this->announce(0);
+    ASSERT_TRUE(this->waitUntil(
+            [](const Reader &reader) { return !reader.views->view().upstreams().all().empty(); }));
+    this->pool.run([this] {
+        this->readers[0].views->sendToAll(
+                UpstreamReport{ .upstream = "upstream0", .startedAtMs = 1, .isLeaving = true });
+    });
+    ASSERT_TRUE(this->waitUntil([](const Reader &reader) { return reader.hasStatement; }));
+    this->pool.run([this] { this->addReader(kReaderCount); });
+    ASSERT_TRUE(this->waitUntil([](const Reader &reader) { return reader.hasStatement; }));
+    EXPECT_TRUE(this->readers[kReaderCount].knewUpstreamOfStatement);
+}
+
 // Guards against one push for each announcement and reader: 2000 here.
 TEST_F(RegistryFanout, BurstOfAnnouncementsIsPushedAtABoundedRate)
 {
     this->pushCount = 0;
     const TimePoint beganAt = bootNow();
     for (std::uint32_t i = 0; i < kUpstreamCount; ++i) {
-        asio::post(this->registry->context(), [this, i] {
-            this->registry->announce({ .id = "upstream" + std::to_string(i),
-                                       .startedAtMs = 1,
-                                       .sequence = 1,
-                                       .service = "service",
-                                       .endpoint = "127.0.2." + std::to_string(i + 1) + ":1",
-                                       .zone = "a",
-                                       .notice = AnnouncedState::ready });
-        });
+        this->announce(i);
         std::this_thread::sleep_for(10ms);
     }
     EXPECT_TRUE(this->waitUntil([](const Reader &reader) {
