--- a/review/lib/model.py
+++ b/review/lib/model.py
@@ -10,6 +10,7 @@
 
 MODEL = "daka510000"
 PIECES, PIECE_BYTES, LAYERS, WARMUP_S = 96, 24576, 16, 0.3
+LINK_BITS_PER_S = 7.3e6
 
 
 def piece_bytes(version, piece):
@@ -43,6 +44,7 @@
     server = http.server.ThreadingHTTPServer((address, port), handler, bind_and_activate=False)
     server.daemon_threads = True
     server.allow_reuse_address = True
+    server.handle_error = lambda *_: None  # a caller that closed its connection
     server.server_bind()
     server.server_activate()
     threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.02},
@@ -51,12 +53,14 @@
 
 
 class Origin:
-    """The origin of weights. While it is down, its port refuses connections and open ones end."""
+    """The origin of weights, with a link of 7.3 Mbit/s for all callers together. While it is down,
+    its port refuses connections and open ones end."""
 
     def __init__(self, deployment):
         self.deployment = deployment
         self.address, self.port = deployment.new_address(), deployment.app_port
         self.connections = set()
+        self.link = threading.Lock()
         self.server = None
         owner = self
 
@@ -80,6 +84,8 @@
                     self.send(200, {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES,
                                     "layers": LAYERS, "digests": digests(version)})
                 else:
+                    with owner.link:
+                        time.sleep(PIECE_BYTES * 8 / LINK_BITS_PER_S)
                     self.send(200, piece_bytes(version, int(query["sampleCount"])))
 
         self.handler = Handler
--- a/review/lib/service.py
+++ b/review/lib/service.py
@@ -51,6 +51,7 @@
 
         self.server = http.server.ThreadingHTTPServer((self.address, deployment.app_port), Handler)
         self.server.daemon_threads = True
+        self.server.handle_error = lambda *_: None  # a caller that closed its connection
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.announce, daemon=True).start()
 
