--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,7 @@
 
 
 def name_version(version):
+    origin.newest = version
     return operator.order(f"version {version}", "/egretpulley/version-put",
                           {"model": MODEL, "version": version})
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -47,6 +47,7 @@
     d.record("the origin is away")
 restarted_at = time.monotonic()
 time.sleep(1.0)
+origin.newest = 2
 named_at = operator.order("version 2", "/egretpulley/version-put", {"model": MODEL, "version": 2})
 if not named_at or named_at > restarted_at + 2.9:
     d.record("version 2 was not named in time")
--- a/review/lib/model.py
+++ b/review/lib/model.py
@@ -60,6 +60,7 @@
         self.deployment = deployment
         self.address, self.port = deployment.new_address(), deployment.app_port
         self.connections = set()
+        self.newest = 1  # newest version that was named
         self.link = threading.Lock()
         self.server = None
         owner = self
@@ -79,8 +80,12 @@
             def do_GET(self):
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
-                version = int(query.get("version", "1"))
-                if url.path.startswith("/egretpulley/manifest/"):
+                version = int(query.get("version", owner.newest))
+                if version <= owner.newest - 2:
+                    self.send(410)
+                elif version > owner.newest:
+                    self.send(404)
+                elif url.path.startswith("/egretpulley/manifest/"):
                     self.send(200, {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES,
                                     "layers": LAYERS, "digests": digests(version)})
                 else:
@@ -105,8 +110,9 @@
 
 
 class Engine:
-    """One model engine with the staging calls of the pages. It accepts staging only as its pages
-    say, keeps one staged copy, and loads the staged pieces as they are when it accepts an order."""
+    """One model engine with the staging calls of the pages. It keeps one staged copy per model,
+    unchecked, and loads the staged pieces as they are when it accepts an order. While it loads it
+    accepts no request. On loopback it can't tell its own machine's calls from others."""
 
     def __init__(self, deployment, service, zone, registries, address):
         self.deployment, self.service, self.zone = deployment, service, zone
@@ -140,6 +146,8 @@
                             return
                         data = owner.staged.get(int(query["sampleCount"]))
                     self.send(404 if data is None else 200, data or b"")
+                elif path.path == "/healthz":
+                    self.send(200, b"", {"Instance-Id": owner.id})
                 else:
                     self.send(404)
 
@@ -171,6 +179,8 @@
         return [{"name": MODEL, "version": self.version, "adapters": []}]
 
     def layers(self):
+        if self.next_load is not None:
+            return []
         return [{"source": 0, "to": LAYERS, "version": self.version}]
 
     def report(self):
@@ -186,6 +196,9 @@
 
     def order(self, handler, order):
         self.settle()
+        if order.get("operation") != "start" or order.get("model") != MODEL:
+            handler.send(400)
+            return
         version = order["version"]
         with self.lock:
             if self.next_load is not None:
@@ -217,7 +230,11 @@
             handler.send(421, b"", {"Attempt-Id": attempt, "Not-Executed": "1"})
             return
         with self.lock:
+            is_loading = self.next_load is not None
             version, intact = self.version, self.matching(self.loaded_pieces, self.version)
+        if is_loading:
+            handler.send(503, b"", {"Attempt-Id": attempt, "Not-Executed": "1"})
+            return
         wanted = handler.headers.get("Expect-Version")
         if wanted and int(wanted) != version:
             handler.send(421, b"", {"Attempt-Id": attempt, "Not-Executed": "1"})
--- a/review/lib/service.py
+++ b/review/lib/service.py
@@ -34,6 +34,12 @@
                 length = int(self.headers.get("Content-Length") or 0)
                 self.rfile.read(length)
                 attempt = self.headers.get("Attempt-Id", "")
+                if self.path == "/healthz":
+                    self.reply(200, attempt, {"Instance-Id": owner.id}, b"")
+                    return
+                if not attempt:
+                    self.reply(400, attempt, {"Not-Executed": "1"}, b"")
+                    return
                 if self.headers.get("Expect-Instance", owner.id) != owner.id:
                     self.reply(421, attempt, {"Not-Executed": "1"}, b"")
                     return
