Tie the end of each staging task to the task that it ends

Cause: the end of a load order did not name the order. When the target changed while an order was in flight, Staging::onOrdered moved the new target to the phase "ordered"; a second later that order counted as lost and the new target went on to read back and order, past its manifest and its pieces. A read-back of an empty manifest is intact.

On the same path: the answers to a check of held pieces, a read-back, the manifest timer and the manifest call could end a later task of the same version; a read-back that ended after its manifest was rejected used a swarm that was gone. Pieces of a new target were staged while an order for the old one could still be accepted, and the engine takes the staged bytes at that moment. A write without an answer could be stored after the read-back.

Each task now has a number, and its end is ignored unless it is the running one. An order in flight outlives a change of the target: pieces of the new target are staged only after its answer, a status that shows the engine busy, or 1 s. Pieces are read back only when no write can still be stored.

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -414,19 +414,18 @@
             return this->fetchManifestFromOrigin();
         this->hub.send(*stager, Channel::control,
                        ManifestRequest{ .version = this->weightsVersionName() });
-        const std::uint64_t version = this->staging.target();
-        this->pool.after(kManifestReplyTimeout, [this, version] {
-            if (version == this->staging.target())
-                this->staging.onManifest(false, bootNow());
+        this->pool.after(kManifestReplyTimeout, [this, task = this->staging.taskNumber()] {
+            this->staging.onManifestFailed(task, bootNow());
         });
     }
 
     void fetchManifestFromOrigin()
     {
         const std::uint64_t version = this->staging.target();
+        const std::uint64_t task = this->staging.taskNumber();
         this->callOrigin(this->protocol.manifestTarget(this->engineSpec->model, version), false,
-                         [this, version](const CallResult &result) {
-                             if (version != this->staging.target())
+                         [this, version, task](const CallResult &result) {
+                             if (!this->staging.isRunning(task))
                                  return;
                              const auto manifest =
                                      result.isSuccess() ? this->protocol.parseManifest(result.body)
@@ -436,7 +435,7 @@
                                  return;
                              logWarn("loading manifest failed",
                                      { { "version", version }, { "status", result.status } });
-                             this->staging.onManifest(false, bootNow());
+                             this->staging.onManifestFailed(task, bootNow());
                          });
     }
 
@@ -453,7 +452,7 @@
         this->mismatchesByPiece.clear();
         for (const LinkPtr &link : std::exchange(this->manifestWaiters, {}))
             link->send(this->manifestReply());
-        this->staging.onManifest(true, bootNow());
+        this->staging.onManifest();
         return true;
     }
 
@@ -500,33 +499,34 @@
     void checkHeld()
     {
         const std::uint64_t version = this->staging.target();
+        const std::uint64_t task = this->staging.taskNumber();
         // Only this process stages pieces, and so far it has staged only older versions. No piece
         // of the target version can be at the engine.
         if (this->collectedVersion != 0 && this->collectedVersion < version)
-            return this->beginCollecting(ChunkSet(this->digests.size()));
+            return this->beginCollecting(task, ChunkSet(this->digests.size()));
         this->callEngine(
                 { .method = "GET",
                   .target = this->protocol.listStagedPiecesTarget(this->engineSpec->model) },
-                kEngineCallTimeout, [this, version](const CallResult &result) {
-                    if (version != this->staging.target())
+                kEngineCallTimeout, [this, task](const CallResult &result) {
+                    if (!this->staging.isRunning(task))
                         return;
                     auto stagedPieces = result.isSuccess()
                                                 ? this->protocol.parseStagedPieces(result.body)
                                                 : std::nullopt;
                     if (!stagedPieces && !(result.isComplete && result.status == 404))
-                        return this->staging.onHeldChecked(HeldPieces::unknown, bootNow());
-                    this->verifyPieces(stagedPieces.value_or(std::vector<std::size_t>{}),
-                                       [this](const VerifyResult &result) {
+                        return this->staging.onHeldChecked(task, HeldPieces::unknown, bootNow());
+                    this->verifyPieces(task, stagedPieces.value_or(std::vector<std::size_t>{}),
+                                       [this, task](const VerifyResult &result) {
                                            if (result.isAnswered)
-                                               this->beginCollecting(result.intactPieces);
+                                               this->beginCollecting(task, result.intactPieces);
                                            else
-                                               this->staging.onHeldChecked(HeldPieces::unknown,
-                                                                           bootNow());
+                                               this->staging.onHeldChecked(
+                                                       task, HeldPieces::unknown, bootNow());
                                        });
                 });
     }
 
-    void beginCollecting(const ChunkSet &heldPieces)
+    void beginCollecting(std::uint64_t task, const ChunkSet &heldPieces)
     {
         const TimePoint now = bootNow();
         const bool isNewVersion = heldPieces.count() == 0 && this->collectedVersion != 0;
@@ -535,14 +535,15 @@
                 stagingSwarmOptions(this->ownRecord(), isNewVersion, !this->zoneRelays().empty()));
         this->swarm->setPeers(this->peers(), now);
         this->swarm->start(this->digests.size(), heldPieces, 1, now);
-        this->staging.onHeldChecked(heldPieces.full() ? HeldPieces::all : HeldPieces::some, now);
+        this->staging.onHeldChecked(task, heldPieces.full() ? HeldPieces::all : HeldPieces::some,
+                                    now);
         logInfo("weights collection started",
                 { { "version", this->staging.target() }, { "held", heldPieces.count() } });
     }
 
     /// Reads pieces back from the engine, compares them with their digests and calls `done` with
-    /// the result.
-    void verifyPieces(std::vector<std::size_t> pieces,
+    /// the result, unless staging has gone on to another task than `task` meanwhile.
+    void verifyPieces(std::uint64_t task, std::vector<std::size_t> pieces,
                       const std::function<void(const VerifyResult &)> &done)
     {
         struct Verification
@@ -551,14 +552,14 @@
             std::size_t readsInFlight{ 0 };
             VerifyResult result;
             std::function<void(const VerifyResult &)> done;
-            std::uint64_t version{ 0 };
+            std::uint64_t task{ 0 };
         };
         auto verification = std::make_shared<Verification>();
         std::erase_if(pieces, [this](std::size_t piece) { return piece >= this->digests.size(); });
         verification->remaining.assign(pieces.begin(), pieces.end());
         verification->result.intactPieces = ChunkSet(this->digests.size());
         verification->done = done;
-        verification->version = this->staging.target();
+        verification->task = task;
         if (pieces.empty())
             return done(verification->result);
         auto readMore = std::make_shared<std::function<void()>>();
@@ -571,7 +572,7 @@
                 ++verification->readsInFlight;
                 this->readPiece(piece, [this, verification, piece, self](const PieceRead &read) {
                     --verification->readsInFlight;
-                    if (verification->version != this->staging.target())
+                    if (!this->staging.isRunning(verification->task))
                         return;
                     if (!read.bytes.empty())
                         verification->result.intactPieces.add(piece);
@@ -614,11 +615,12 @@
         std::vector<std::size_t> allPieces(this->digests.size());
         for (std::size_t i = 0; i < allPieces.size(); ++i)
             allPieces[i] = i;
-        this->verifyPieces(allPieces, [this](const VerifyResult &result) {
+        const std::uint64_t task = this->staging.taskNumber();
+        this->verifyPieces(task, allPieces, [this, task](const VerifyResult &result) {
             const TimePoint now = bootNow();
             const ChunkSet &intactPieces = result.intactPieces;
             if (!result.isAnswered)
-                return this->staging.onReadBackUnanswered(now);
+                return this->staging.onReadBackUnanswered(task, now);
             if (!intactPieces.full()) {
                 this->damagedPieceCount += intactPieces.size() - intactPieces.count();
                 logWarn("staged weights failed verification",
@@ -626,34 +628,37 @@
                           { "whole", intactPieces.count() } });
                 this->swarm->start(intactPieces.size(), intactPieces, 1, now);
             }
-            this->staging.onReadBack(intactPieces.full(), now);
+            this->staging.onReadBack(task, intactPieces.full(), now);
         });
     }
 
     void sendLoadOrder()
     {
         const std::uint64_t version = this->staging.target();
+        const std::uint64_t task = this->staging.taskNumber();
         ++this->loadOrderCount;
         // The load notices are sent before the order and report the engine as unusable, so gateways
         // stop sending requests to the engine.
         this->isSendingLoadOrder = true;
         this->sendLoadNotices();
         logInfo("load order sent", { { "version", version } });
-        this->callEngine({ .method = "POST",
-                           .target = this->protocol.loadOrderTarget,
-                           .body = this->protocol.loadOrderBody(this->engineSpec->model, version) },
-                         kEngineCallTimeout, [this](const CallResult &result) {
-                             const OrderReply reply =
-                                     result.isComplete
-                                             ? this->protocol.parseOrderStatus(result.status)
-                                             : OrderReply::unknown;
-                             logInfo("load order answered", { { "status", result.status },
-                                                              { "whole", result.isComplete } });
-                             this->isSendingLoadOrder = false;
-                             if (reply != OrderReply::refused && this->report)
-                                 this->report->isBusy = true;
-                             this->staging.onOrdered(reply, bootNow());
-                         });
+        this->callEngine(
+                { .method = "POST",
+                  .target = this->protocol.loadOrderTarget,
+                  .body = this->protocol.loadOrderBody(this->engineSpec->model, version) },
+                kEngineCallTimeout, [this, version, task](const CallResult &result) {
+                    const OrderReply reply =
+                            result.isComplete ? this->protocol.parseOrderStatus(result.status)
+                                              : OrderReply::unknown;
+                    logInfo("load order answered", { { "version", version },
+                                                     { "current", this->staging.isRunning(task) },
+                                                     { "status", result.status },
+                                                     { "whole", result.isComplete } });
+                    this->isSendingLoadOrder = false;
+                    if (reply != OrderReply::refused && this->report)
+                        this->report->isBusy = true;
+                    this->staging.onOrdered(task, reply, bootNow());
+                });
     }
 
     // The swarm.
@@ -873,11 +878,13 @@
             return this->swarm->onFetched(
                     piece, bytes.empty() ? FetchOutcome::failed : FetchOutcome::corrupt, 0ms, now);
         const std::string version = this->weightsVersionName();
+        this->staging.onWriteStarted();
         this->callEngine(
                 { .method = "PUT",
                   .target = this->protocol.putStagedPieceTarget(this->engineSpec->model, piece),
                   .body = bytes },
                 kEngineCallTimeout, [this, piece, version, source](const CallResult &result) {
+                    this->staging.onWriteEnded(result.isComplete, bootNow());
                     if (this->isCurrent(version))
                         this->onStaged(piece, result.isSuccess(), source);
                 });
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -60,13 +60,16 @@
     this->isNew = isNewlyNamed;
     this->namedAt = now;
     this->phase = Phase::fetchingManifest;
-    this->isRunning = false;
+    this->runningTask = 0;
     this->notBefore = now;
     this->verifiedAt.reset();
 }
 
 void Staging::onEngineStatus(const EngineStatus &status, TimePoint now)
 {
+    // Orders are sent only to an engine that is not busy, so a busy engine has accepted the order.
+    if (status.isBusy && this->orderInFlight == 0)
+        this->orderExpiresAt = std::min(this->orderExpiresAt, now);
     // A task that failed because the engine was unreachable is retried as soon as the engine
     // responds.
     if (!this->engineStatus)
@@ -76,7 +79,7 @@
 
 StagingTask Staging::next(TimePoint now)
 {
-    if (this->isRunning || now < this->notBefore)
+    if (this->runningTask != 0 || now < this->notBefore)
         return StagingTask::none;
     switch (this->phase) {
     case Phase::none:
@@ -84,6 +87,8 @@
     case Phase::fetchingManifest:
         return this->start(StagingTask::fetchManifest);
     case Phase::checkingHeld:
+        if (this->mayOrderBeAccepted(now))
+            return StagingTask::none;
         return this->start(StagingTask::checkHeld);
     case Phase::collecting:
         return StagingTask::collect;
@@ -97,7 +102,7 @@
         [[fallthrough]];
     case Phase::staged:
         if (!this->engineStatus || this->engineStatus->isBusy || this->isLoaded()
-            || !this->isLoadDue(now))
+            || !this->isLoadDue(now) || this->mayWriteBeStored(now))
             return StagingTask::none;
         if (!this->verifiedAt || now > *this->verifiedAt + this->options.verificationLifetime)
             return this->start(StagingTask::readBack);
@@ -119,12 +124,42 @@
                           + std::chrono::duration_cast<Duration>(remaining * this->rolloutPosition);
 }
 
+/// Whether the engine may still accept an order that was sent.
+bool Staging::mayOrderBeAccepted(TimePoint now) const
+{
+    return this->orderInFlight != 0 || now < this->orderExpiresAt;
+}
+
+/// Whether the engine may still store a piece that was sent.
+bool Staging::mayWriteBeStored(TimePoint now) const
+{
+    return this->writesInFlight > 0 || now < this->writesExpireAt;
+}
+
+void Staging::onWriteEnded(bool isAnswered, TimePoint now)
+{
+    --this->writesInFlight;
+    if (!isAnswered)
+        this->writesExpireAt = now + this->options.writeTimeout;
+}
+
 StagingTask Staging::start(StagingTask task)
 {
-    this->isRunning = true;
+    this->runningTask = ++this->lastTask;
+    if (task == StagingTask::order)
+        this->orderInFlight = this->runningTask;
     return task;
 }
 
+/// Ends the running task if it has this number; false otherwise.
+bool Staging::end(std::uint64_t task)
+{
+    if (task == 0 || task != this->runningTask)
+        return false;
+    this->runningTask = 0;
+    return true;
+}
+
 void Staging::scheduleRetry(TimePoint now)
 {
     this->notBefore = now + this->options.retryDelay;
@@ -133,25 +168,29 @@
 void Staging::onManifestRejected(TimePoint now)
 {
     this->phase = Phase::fetchingManifest;
-    this->isRunning = false;
+    this->runningTask = 0;
     this->notBefore = now;
     this->verifiedAt.reset();
 }
 
-void Staging::onManifest(bool isAccepted, TimePoint now)
+void Staging::onManifest()
 {
     if (!this->lacksManifest())
         return;
-    this->isRunning = false;
-    if (isAccepted)
-        this->phase = Phase::checkingHeld;
-    else
+    this->runningTask = 0;
+    this->phase = Phase::checkingHeld;
+}
+
+void Staging::onManifestFailed(std::uint64_t task, TimePoint now)
+{
+    if (this->end(task))
         this->scheduleRetry(now);
 }
 
-void Staging::onHeldChecked(HeldPieces held, TimePoint now)
+void Staging::onHeldChecked(std::uint64_t task, HeldPieces held, TimePoint now)
 {
-    this->isRunning = false;
+    if (!this->end(task))
+        return;
     if (held == HeldPieces::unknown)
         return this->scheduleRetry(now);
     this->phase = Phase::collecting;
@@ -167,9 +206,10 @@
     this->stagedAt = now;
 }
 
-void Staging::onReadBack(bool isIntact, TimePoint now)
+void Staging::onReadBack(std::uint64_t task, bool isIntact, TimePoint now)
 {
-    this->isRunning = false;
+    if (!this->end(task))
+        return;
     if (isIntact) {
         this->verifiedAt = now;
         return;
@@ -178,15 +218,21 @@
     this->phase = Phase::collecting;
 }
 
-void Staging::onReadBackUnanswered(TimePoint now)
+void Staging::onReadBackUnanswered(std::uint64_t task, TimePoint now)
 {
-    this->isRunning = false;
-    this->scheduleRetry(now);
+    if (this->end(task))
+        this->scheduleRetry(now);
 }
 
-void Staging::onOrdered(OrderReply reply, TimePoint now)
+void Staging::onOrdered(std::uint64_t task, OrderReply reply, TimePoint now)
 {
-    this->isRunning = false;
+    if (task == this->orderInFlight) {
+        this->orderInFlight = 0;
+        if (reply == OrderReply::unknown)
+            this->orderExpiresAt = now + this->options.orderTimeout;
+    }
+    if (!this->end(task))
+        return;
     this->verifiedAt.reset();
     this->orderedAt = now;
     if (reply == OrderReply::refused)
--- a/src/staging.h
+++ b/src/staging.h
@@ -35,6 +35,8 @@
     /// A load order whose effect does not appear in the engine's status within this time counts
     /// as lost.
     Milliseconds orderTimeout{ 1s };
+    /// A write that the engine left unanswered may be stored within this time after its end.
+    Milliseconds writeTimeout{ 1s };
 };
 
 /// Status reported by an engine.
@@ -69,8 +71,11 @@
 /// chunks of `Swarm`) from peers and the origin, and stages each piece: writes the piece to the
 /// engine, without effect on the loaded version. Right before the load order, the staged pieces
 /// are read back and verified: staged bytes may become corrupt, and the engine doesn't verify the
-/// bytes. The engines load one after another over the time that remains until `rolloutLimit`, so
-/// that most engines serve at any time. Deterministic; not thread safe.
+/// bytes. The engine takes the staged bytes at the moment it accepts an order, and staged pieces
+/// are overwritten. So no piece of a new target is staged while an order for an earlier target may
+/// still be accepted, and pieces are read back only when no write can still be stored. The engines
+/// load one after another over the time that remains until `rolloutLimit`, so that most engines
+/// serve at any time. Deterministic; not thread safe.
 class Staging
 {
 public:
@@ -93,8 +98,19 @@
     /// `collect` does not count as running: it is returned on every call until `onCollected`.
     StagingTask next(TimePoint now);
 
-    /// Ends `fetchManifest`. `isAccepted`: the manifest was received and is valid.
-    void onManifest(bool isAccepted, TimePoint now);
+    /// Number of the task that `next` returned last, other than `collect`. The caller passes the
+    /// number to the method that ends the task: the end of an earlier task, which may have been
+    /// started for another target, doesn't end the present one.
+    std::uint64_t taskNumber() const { return this->lastTask; }
+
+    /// True while the task with this number is the running one.
+    bool isRunning(std::uint64_t task) const { return this->runningTask == task; }
+
+    /// Records that the manifest of the target version was received and is valid.
+    void onManifest();
+
+    /// Ends `fetchManifest` without a manifest.
+    void onManifestFailed(std::uint64_t task, TimePoint now);
 
     /// The manifest in use is wrong: it is fetched again.
     void onManifestRejected(TimePoint now);
@@ -103,19 +119,26 @@
     bool lacksManifest() const { return this->phase == Phase::fetchingManifest; }
 
     /// Ends `checkHeld`. Collecting starts unless the engine did not respond.
-    void onHeldChecked(HeldPieces held, TimePoint now);
+    void onHeldChecked(std::uint64_t task, HeldPieces held, TimePoint now);
+
+    /// Records that the caller began to write a piece to the engine.
+    void onWriteStarted() { ++this->writesInFlight; }
+
+    /// Records the end of a write, of any target. The engine may still store the piece later if
+    /// it did not answer.
+    void onWriteEnded(bool isAnswered, TimePoint now);
 
     /// Ends `collect`: all pieces are staged.
     void onCollected(TimePoint now);
 
     /// Ends `readBack`. `isIntact`: all pieces match their digests.
-    void onReadBack(bool isIntact, TimePoint now);
+    void onReadBack(std::uint64_t task, bool isIntact, TimePoint now);
 
     /// Ends `readBack` after the engine left at least one read unanswered.
-    void onReadBackUnanswered(TimePoint now);
+    void onReadBackUnanswered(std::uint64_t task, TimePoint now);
 
-    /// Ends `order`.
-    void onOrdered(OrderReply reply, TimePoint now);
+    /// Ends `order`. The order may have been sent for an earlier target.
+    void onOrdered(std::uint64_t task, OrderReply reply, TimePoint now);
 
     std::uint64_t target() const { return this->version; }
     bool isLoaded() const
@@ -135,8 +158,11 @@
     };
 
     bool isLoadDue(TimePoint now) const;
+    bool mayOrderBeAccepted(TimePoint now) const;
+    bool mayWriteBeStored(TimePoint now) const;
     void scheduleRetry(TimePoint now);
     StagingTask start(StagingTask task);
+    bool end(std::uint64_t task);
 
     StagingOptions options;
     std::uint64_t version{ 0 }; ///< target version, 0 for none
@@ -145,8 +171,14 @@
     double rolloutPosition{ 0 };
     TimePoint stagedAt; ///< time when all pieces were staged
     Phase phase{ Phase::none };
-    bool isRunning{ false };             ///< a task is in progress
-    TimePoint notBefore;                 ///< earliest time of the next task
+    std::uint64_t lastTask{ 0 };    ///< number of the last task
+    std::uint64_t runningTask{ 0 }; ///< number of the task in progress, 0 for none
+    /// Number of the order that has not ended, 0 for none. It outlives a change of the target.
+    std::uint64_t orderInFlight{ 0 };
+    TimePoint orderExpiresAt; ///< an order without an answer takes no effect after this time
+    std::size_t writesInFlight{ 0 };
+    TimePoint writesExpireAt; ///< a write without an answer takes no effect after this time
+    TimePoint notBefore;      ///< earliest time of the next task
     std::optional<TimePoint> verifiedAt; ///< time when all staged pieces were last found intact
     TimePoint orderedAt;
     std::optional<EngineStatus> engineStatus; ///< empty while the engine doesn't respond
--- a/tests/staging_test.cpp
+++ b/tests/staging_test.cpp
@@ -17,13 +17,25 @@
 void collect(Staging &staging, TimePoint now)
 {
     EXPECT_EQ(staging.next(now), StagingTask::fetchManifest);
-    staging.onManifest(true, now);
+    staging.onManifest();
     EXPECT_EQ(staging.next(now), StagingTask::checkHeld);
-    staging.onHeldChecked(HeldPieces::some, now);
+    staging.onHeldChecked(staging.taskNumber(), HeldPieces::some, now);
     EXPECT_EQ(staging.next(now), StagingTask::collect);
     staging.onCollected(now);
 }
 
+/// Brings `staging` to the load order of `target` and returns the order's number.
+std::uint64_t startOrder(Staging &staging, std::uint64_t target)
+{
+    staging.setTarget(target, false, kStart);
+    staging.onEngineStatus({ .version = 1 }, kStart);
+    collect(staging, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::readBack);
+    staging.onReadBack(staging.taskNumber(), true, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::order);
+    return staging.taskNumber();
+}
+
 } // namespace
 
 TEST(Staging, PiecesAreReadBackRightBeforeTheOrder)
@@ -33,9 +45,9 @@
     staging.onEngineStatus({ .version = 1 }, kStart);
     collect(staging, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::readBack);
-    staging.onReadBack(true, kStart);
+    staging.onReadBack(staging.taskNumber(), true, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::order);
-    staging.onOrdered(OrderReply::started, kStart);
+    staging.onOrdered(staging.taskNumber(), OrderReply::started, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::none);
     staging.onEngineStatus({ .version = 2 }, kStart);
     EXPECT_EQ(staging.next(kStart + 9s), StagingTask::none);
@@ -49,7 +61,7 @@
     staging.onEngineStatus({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
-    staging.onReadBack(false, kStart);
+    staging.onReadBack(staging.taskNumber(), false, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::collect);
 }
 
@@ -60,7 +72,7 @@
     staging.onEngineStatus({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
-    staging.onReadBack(true, kStart);
+    staging.onReadBack(staging.taskNumber(), true, kStart);
     staging.onEngineStatus({ .version = 1, .isBusy = true }, kStart);
     EXPECT_EQ(staging.next(kStart + 1s), StagingTask::none);
     staging.onEngineStatus({ .version = 1 }, kStart);
@@ -77,7 +89,7 @@
     EXPECT_EQ(staging.next(kStart + 4900ms), StagingTask::none);
     staging.onEngineStatus({ .version = 0 }, kStart);
     EXPECT_EQ(staging.next(kStart + 4900ms), StagingTask::readBack);
-    staging.onReadBack(true, kStart + 4s);
+    staging.onReadBack(staging.taskNumber(), true, kStart + 4s);
     staging.onEngineStatus({ .version = 1 }, kStart);
     EXPECT_EQ(staging.next(kStart + 5s), StagingTask::readBack);
 }
@@ -99,9 +111,9 @@
     staging.onEngineStatus({ .version = 1 }, kStart);
     collect(staging, kStart);
     staging.next(kStart);
-    staging.onReadBack(true, kStart);
+    staging.onReadBack(staging.taskNumber(), true, kStart);
     staging.next(kStart);
-    staging.onOrdered(OrderReply::unknown, kStart);
+    staging.onOrdered(staging.taskNumber(), OrderReply::unknown, kStart);
     staging.onEngineStatus({ .version = 1, .isBusy = true }, kStart);
     EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none);
     staging.onEngineStatus({ .version = 1 }, kStart);
@@ -121,6 +133,70 @@
     EXPECT_EQ(staging.target(), 3U);
 }
 
+// Guards against an order that ends late and moves a newer target past its manifest and pieces.
+TEST(Staging, AnOrderThatEndsAfterTheTargetChangedLeavesTheNewTargetAtItsManifest)
+{
+    for (const OrderReply reply : { OrderReply::started, OrderReply::unknown }) {
+        Staging staging({ .orderTimeout = 1s });
+        const std::uint64_t order = startOrder(staging, 2);
+        staging.setTarget(3, true, kStart);
+        staging.onOrdered(order, reply, kStart + 10ms);
+        EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::fetchManifest);
+        EXPECT_EQ(staging.next(kStart + 3s), StagingTask::none);
+        EXPECT_TRUE(staging.lacksManifest());
+    }
+}
+
+// Guards against pieces of a new target that are staged while the engine may still take the staged
+// bytes for an earlier order.
+TEST(Staging, NoPieceOfANewTargetIsStagedWhileAnEarlierOrderMayBeAccepted)
+{
+    Staging staging({ .orderTimeout = 1s });
+    const std::uint64_t order = startOrder(staging, 2);
+    staging.setTarget(3, true, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    staging.onManifest();
+    EXPECT_EQ(staging.next(kStart + 500ms), StagingTask::none);
+    staging.onOrdered(order, OrderReply::unknown, kStart + 1s);
+    EXPECT_EQ(staging.next(kStart + 1900ms), StagingTask::none);
+    Staging answered = staging;
+    answered.onEngineStatus({ .version = 1, .isBusy = true }, kStart + 1100ms);
+    EXPECT_EQ(answered.next(kStart + 1100ms), StagingTask::checkHeld);
+    EXPECT_EQ(staging.next(kStart + 2s), StagingTask::checkHeld);
+}
+
+// Guards against a read-back that an earlier write, still on its way, makes worthless.
+TEST(Staging, PiecesAreReadBackOnlyOnceNoWriteCanBeStored)
+{
+    Staging staging({ .writeTimeout = 1s });
+    staging.onWriteStarted();
+    staging.setTarget(2, false, kStart);
+    staging.onEngineStatus({ .version = 1 }, kStart);
+    collect(staging, kStart);
+    EXPECT_EQ(staging.next(kStart + 100ms), StagingTask::none);
+    staging.onWriteEnded(false, kStart + 200ms);
+    EXPECT_EQ(staging.next(kStart + 1100ms), StagingTask::none);
+    EXPECT_EQ(staging.next(kStart + 1200ms), StagingTask::readBack);
+}
+
+// Guards against an answer to an earlier task of the same target that ends the present task.
+TEST(Staging, TheEndOfAnEarlierTaskDoesNotEndThePresentOne)
+{
+    Staging staging;
+    staging.setTarget(2, false, kStart);
+    staging.onEngineStatus({ .version = 1 }, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    const std::uint64_t first = staging.taskNumber();
+    staging.onManifestRejected(kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    staging.onManifestFailed(first, kStart);
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none);
+    staging.onManifest();
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::checkHeld);
+    staging.onHeldChecked(first, HeldPieces::all, kStart + 5s);
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none);
+}
+
 TEST(SourcePool, ASingleSourceIsRetriedSoonAfterCorruptBytes)
 {
     SourcePool singleSource;
@@ -171,10 +247,14 @@
             case StagingTask::none:
                 break;
             case StagingTask::fetchManifest:
-                staging.onManifest(!hasFaults || *rc::gen::inRange(0, 3) > 0, now);
+                if (!hasFaults || *rc::gen::inRange(0, 3) > 0)
+                    staging.onManifest();
+                else
+                    staging.onManifestFailed(staging.taskNumber(), now);
                 break;
             case StagingTask::checkHeld:
-                staging.onHeldChecked(!hasFaults || *rc::gen::inRange(0, 3) > 0
+                staging.onHeldChecked(staging.taskNumber(),
+                                      !hasFaults || *rc::gen::inRange(0, 3) > 0
                                               ? HeldPieces::some
                                               : HeldPieces::unknown,
                                       now);
@@ -186,16 +266,16 @@
             case StagingTask::readBack:
                 isVerified = !isDamaged;
                 verifiedAt = now;
-                staging.onReadBack(isVerified, now);
+                staging.onReadBack(staging.taskNumber(), isVerified, now);
                 break;
             case StagingTask::order:
                 RC_ASSERT(now - verifiedAt <= 3s);
                 if (!hasFaults || *rc::gen::inRange(0, 3) > 0) {
                     loadedVersion = isVerified ? staging.target() : loadedVersion;
                     isBusy = true;
-                    staging.onOrdered(OrderReply::started, now);
+                    staging.onOrdered(staging.taskNumber(), OrderReply::started, now);
                 } else {
-                    staging.onOrdered(OrderReply::unknown, now);
+                    staging.onOrdered(staging.taskNumber(), OrderReply::unknown, now);
                 }
                 break;
             }
@@ -214,10 +294,10 @@
     Staging staging;
     staging.setTarget(1, false, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
-    staging.onManifest(true, kStart);
+    staging.onManifest();
     EXPECT_EQ(staging.next(kStart), StagingTask::checkHeld);
     staging.onEngineUnreachable();
-    staging.onHeldChecked(HeldPieces::unknown, kStart);
+    staging.onHeldChecked(staging.taskNumber(), HeldPieces::unknown, kStart);
     EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::none);
     staging.onEngineStatus({ .version = 0 }, kStart + 10ms);
     EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::checkHeld);
@@ -228,10 +308,10 @@
     Staging staging;
     staging.setTarget(2, false, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
-    staging.onManifest(true, kStart);
+    staging.onManifest();
     staging.onEngineStatus({ .version = 0 }, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::checkHeld);
-    staging.onHeldChecked(HeldPieces::all, kStart);
+    staging.onHeldChecked(staging.taskNumber(), HeldPieces::all, kStart);
     EXPECT_EQ(staging.next(kStart), StagingTask::collect);
     staging.onCollected(kStart);
     EXPECT_EQ(staging.next(kStart + 50ms), StagingTask::order);
@@ -242,9 +322,9 @@
     Staging staging;
     staging.setTarget(2, false, kStart);
     staging.next(kStart);
-    staging.onManifest(true, kStart);
+    staging.onManifest();
     staging.next(kStart);
-    staging.onHeldChecked(HeldPieces::all, kStart);
+    staging.onHeldChecked(staging.taskNumber(), HeldPieces::all, kStart);
     staging.next(kStart);
     staging.onCollected(kStart);
     staging.onEngineStatus({ .version = 0 }, kStart + 2s);
