Replace registries that leave or fall silent by a standby that holds the log

Cause: a planned departure was known to the process that got the stop signal and to nobody else, and a successor had neither a copy of the log nor a vote before a voter had been silent for 6 s.

The leader now keeps one learner beyond the voters, a standby that holds the log. A registry that is stopped says so in its replies (AppendReply.isLeaving) and waits, 1 s at most and only when there is a standby, until the standby has its place; a leader hands over in the same way. A voter that ends without notice is replaced after half of the catch-up time (setting bounds.catchUp, from catchUpS), and the silence of a former leader counts from its last message. Members change one at a time, as before; a removed member gets the entry of its removal. A standby that fails is not promoted and gives up its place. A learner with a lost folder is replaced by the newer one at its endpoint.

--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -34,6 +34,7 @@
 {
     std::vector<QuorumMessage> messages;
     std::vector<Proposal> proposals;
+    bool isLeaving{ false };
     bool isStopping{ false };
 };
 
@@ -45,6 +46,8 @@
     TimePoint leadershipExpiresAt;
     std::set<std::string> endpoints; ///< link addresses of known instances of the quorum
     QuorumStatus status;
+    /// A standby is in the membership, or has just become one voter more than are wanted.
+    bool canBeReplaced{ false };
 };
 
 Milliseconds wallTime()
@@ -100,7 +103,8 @@
         this->quorum.emplace(QuorumOptions{ .endpoint = this->options.endpoint,
                                             .initialEndpoints = this->options.controls,
                                             .mayBootstrap = this->options.mayBootstrap,
-                                            .targetVoters = this->options.targetVoters },
+                                            .targetVoters = this->options.targetVoters,
+                                            .silentVoterTimeout = this->options.catchUpTime / 2 },
                              std::move(*persistentState), this->log.isFresh(), randomSeed(),
                              startedAt);
         this->perform();
@@ -113,6 +117,21 @@
         return true;
     }
 
+    void leave(Milliseconds limit)
+    {
+        const TimePoint deadline = bootNow() + limit;
+        if (!this->hasPlaceToGive())
+            return;
+        {
+            const std::lock_guard lock(this->inboxMutex);
+            this->inbox.isLeaving = true;
+        }
+        this->inboxFilled.notify_one();
+        while (this->hasPlaceToGive() && bootNow() < deadline)
+            std::this_thread::sleep_for(kTickPeriod);
+        logInfo("left the control quorum", { { "isReplaced", !this->hasPlaceToGive() } });
+    }
+
     void stop()
     {
         {
@@ -180,6 +199,15 @@
     }
 
 private:
+    /// True while this instance votes or leads, and a standby or a new voter can do so instead.
+    bool hasPlaceToGive()
+    {
+        return this->shared.with([](const PublishedState &published) {
+            const bool isVoter = published.status.role == QuorumRole::voter;
+            return (isVoter && published.canBeReplaced) || (!isVoter && published.leadingTerm);
+        });
+    }
+
     /// A command that was appended to the log and is not applied yet.
     struct PendingProposal
     {
@@ -216,6 +244,8 @@
     void processBatch(Inbox &events)
     {
         const TimePoint now = bootNow();
+        if (events.isLeaving)
+            this->quorum->leave();
         this->quorum->tick(now);
         for (const QuorumMessage &message : events.messages)
             this->quorum->receive(now, message);
@@ -401,7 +431,7 @@
     {
         QuorumStatus status{ .leader = this->quorum->leaderEndpoint() };
         for (const QuorumMember &each : this->quorum->members().members) {
-            status.voters += each.voter ? 1 : 0;
+            ++(each.voter ? status.voters : status.standbys);
             if (each.folder == this->quorum->persistentState().folder)
                 status.role = each.voter ? QuorumRole::voter : QuorumRole::learner;
         }
@@ -421,6 +451,8 @@
         const auto previousTerm = this->shared.with([&](PublishedState &published) {
             published.endpoints = std::move(endpoints);
             hasStatusChanged = std::exchange(published.status, status) != status;
+            published.canBeReplaced =
+                    status.standbys > 0 || status.voters > this->options.targetVoters;
             published.leadershipExpiresAt = expiresAt;
             return std::exchange(published.leadingTerm, term);
         });
@@ -479,6 +511,11 @@
     return this->impl->start(reason);
 }
 
+void ControlNode::leave(Milliseconds limit)
+{
+    this->impl->leave(limit);
+}
+
 void ControlNode::stop()
 {
     this->impl->stop();
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -22,6 +22,8 @@
     /// The leader adds instances until the group has this number of voters. 0: the leader adds
     /// an instance only on an operator's command.
     std::size_t targetVoters{ 0 };
+    /// Time from the start of an instance until another one may be lost.
+    Milliseconds catchUpTime{ 4s };
 };
 
 /// How an instance takes part in the control quorum.
@@ -34,8 +36,9 @@
 struct QuorumStatus
 {
     QuorumRole role{ QuorumRole::outside };
-    std::string leader;      ///< link address of the leader; empty when unknown
-    std::size_t voters{ 0 }; ///< number of voters in the latest membership known here
+    std::string leader;        ///< link address of the leader; empty when unknown
+    std::size_t voters{ 0 };   ///< number of voters in the latest membership known here
+    std::size_t standbys{ 0 }; ///< number of learners in that membership
 
     bool operator==(const QuorumStatus &) const = default;
 };
@@ -68,6 +71,11 @@
     /// folder can't be used. Call once.
     bool start(Reason<int> &reason);
 
+    /// Announces to the quorum that this instance stops soon, and waits until a standby has taken
+    /// its place in the membership, for at most `limit`. Returns at once when this instance is no
+    /// voter or there is no standby. Precondition: the instance was started.
+    void leave(Milliseconds limit);
+
     /// Ends the thread. Callbacks of pending commands are never called. The destructor calls
     /// this method.
     void stop();
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -50,8 +50,9 @@
         this->reportedLeader.reset();
     // A removed member receives no messages from the leader, and sends probes to be added
     // again.
-    const bool mustProbe = this->persistent.cluster == 0 || !this->isWatermarkConfirmed
-                           || (this->options.targetVoters > 0 && !this->hasRecentLeader(now));
+    const bool mustProbe = !this->isLeaving
+                           && (this->persistent.cluster == 0 || !this->isWatermarkConfirmed
+                               || (this->options.targetVoters > 0 && !this->hasRecentLeader(now)));
     if (now >= this->nextProbeAt && mustProbe)
         this->sendProbes(now);
     if (this->hasUnsavedWatermarks && now >= this->watermarksSavedAt + kWatermarkSaveInterval) {
@@ -377,76 +378,131 @@
            && this->changeMembers(now, changed);
 }
 
-/// Starts the next membership change: promotes a caught-up learner to voter, removes the
-/// older of two members with the same endpoint, replaces a silent voter or adds an instance.
-/// A change starts only after the previous change is committed.
+/// Starts the next membership change. A change starts only after the previous change is committed.
 void Quorum::manageMembers(TimePoint now)
 {
     if (!this->mayChangeMembers())
         return;
-    QuorumMembers changed = this->members();
-    for (QuorumMember &learner : changed.members) {
-        if (!learner.voter && this->matchIndex(learner.folder) >= this->commit) {
-            learner.voter = true;
-            this->changeMembers(now, changed);
-            return;
-        }
-    }
-    for (std::size_t newer = 0; newer < changed.members.size(); ++newer) {
+    if (this->removeReplacedMember(now) || this->promoteLearner(now))
+        return;
+    if (this->options.targetVoters > 0 && !this->removeDepartingVoter(now)
+        && !this->removeDepartingStandby(now))
+        this->addProbingInstance(now);
+}
+
+std::size_t Quorum::voterCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+            this->members().members, [](const auto &each) { return each.voter; }));
+}
+
+/// True when the data folder `folder` takes the place of a member with the same endpoint, whose
+/// folder is lost.
+bool Quorum::isReplacement(const std::string &endpoint, std::uint64_t folder) const
+{
+    return std::ranges::any_of(this->members().members, [&](const QuorumMember &each) {
+        return each.endpoint == endpoint && each.folder != folder;
+    });
+}
+
+/// Removes the older of two members with the same endpoint, a voter only once the newer member is a
+/// voter. Returns true when a removal has started.
+bool Quorum::removeReplacedMember(TimePoint now)
+{
+    const auto &current = this->members().members;
+    for (std::size_t newer = 0; newer < current.size(); ++newer) {
         for (std::size_t older = 0; older < newer; ++older) {
-            const QuorumMember &replacedMember = changed.members[older];
-            if (replacedMember.endpoint == changed.members[newer].endpoint
-                && changed.members[newer].voter) {
-                this->removeMember(now, replacedMember.folder);
-                return;
-            }
+            if (current[older].endpoint == current[newer].endpoint
+                && (current[newer].voter || !current[older].voter))
+                return this->removeMember(now, current[older].folder);
         }
     }
-    if (this->options.targetVoters > 0 && !this->removeSilentVoter(now))
-        this->addProbingInstance(now);
+    return false;
 }
 
-/// True for a voter, other than this member, without a reply within `silentVoterTimeout`.
-bool Quorum::isSilentVoter(const QuorumMember &other, TimePoint now) const
+/// Makes a learner that holds all committed entries a voter, if a place is free or a voter departs.
+/// Any other learner remains a standby. Returns true when the change has started.
+bool Quorum::promoteLearner(TimePoint now)
 {
-    const auto found = this->progress.find(other.folder);
-    return other.voter && other.folder != this->persistent.folder && found != this->progress.end()
-           && now > found->second.lastReplyAt + this->options.silentVoterTimeout;
+    const bool isManaged = this->options.targetVoters > 0;
+    if (isManaged && this->voterCount() > this->options.targetVoters)
+        return false;
+    QuorumMembers changed = this->members();
+    const bool hasPlace = !isManaged || this->voterCount() < this->options.targetVoters
+                          || std::ranges::any_of(changed.members, [&](const QuorumMember &each) {
+                                 return each.voter && this->isDeparting(each, now);
+                             });
+    for (QuorumMember &learner : changed.members) {
+        const bool isReady = !learner.voter && this->matchIndex(learner.folder) >= this->commit
+                             && !(isManaged && this->isDeparting(learner, now));
+        if (!isReady || !(hasPlace || this->isReplacement(learner.endpoint, learner.folder)))
+            continue;
+        learner.voter = true;
+        return this->changeMembers(now, changed);
+    }
+    return false;
+}
+
+/// True for a member that has announced its departure, and for another member without a reply
+/// within the time that its kind is given. The time of a learner is short: a learner that has just
+/// failed must not become a voter.
+bool Quorum::isDeparting(const QuorumMember &member, TimePoint now) const
+{
+    if (member.folder == this->persistent.folder)
+        return this->isLeaving;
+    const auto found = this->progress.find(member.folder);
+    if (found == this->progress.end())
+        return false;
+    const Milliseconds timeout =
+            member.voter ? this->options.silentVoterTimeout : this->options.electionTimeout;
+    return found->second.isLeaving || now > found->second.lastReplyAt + timeout;
+}
+
+/// Removes a departing voter when there are more than `targetVoters` voters. Returns true when a
+/// removal has started.
+bool Quorum::removeDepartingVoter(TimePoint now)
+{
+    if (this->voterCount() <= this->options.targetVoters)
+        return false;
+    const auto &current = this->members().members;
+    const auto departing = std::ranges::find_if(current, [&](const QuorumMember &each) {
+        return each.voter && this->isDeparting(each, now);
+    });
+    return departing != current.end() && this->removeMember(now, departing->folder);
 }
 
-/// Removes a silent voter when there are more than `targetVoters` voters. Returns true when a
+/// Removes a standby that departs when another instance asks for its place. Returns true when a
 /// removal has started.
-bool Quorum::removeSilentVoter(TimePoint now)
+bool Quorum::removeDepartingStandby(TimePoint now)
 {
     const auto &current = this->members().members;
-    const auto voters = std::ranges::count_if(current, [](const auto &each) { return each.voter; });
-    if (static_cast<std::size_t>(voters) <= this->options.targetVoters)
+    const auto departing = std::ranges::find_if(current, [&](const QuorumMember &each) {
+        return !each.voter && this->isDeparting(each, now);
+    });
+    if (departing == current.end())
         return false;
-    const auto silent = std::ranges::find_if(
-            current, [&](const QuorumMember &each) { return this->isSilentVoter(each, now); });
-    return silent != current.end() && this->removeMember(now, silent->folder);
+    const bool hasCandidate = std::ranges::any_of(this->probesByEndpoint, [&](const auto &each) {
+        return now <= each.second.receivedAt + kMaxProbeAge
+               && this->member(each.second.folder) == nullptr;
+    });
+    return hasCandidate && this->removeMember(now, departing->folder);
 }
 
 /// Adds one instance that has recently sent a probe and whose folder is not a member. An instance
 /// with an empty folder and the endpoint of a member is always added, because that member's
 /// folder is lost; the older member is removed later. Any other instance, such as a removed
-/// member, is added only to reach the target number of voters or to replace a silent voter.
+/// member, is added only to reach the target number of voters or as the standby.
 void Quorum::addProbingInstance(TimePoint now)
 {
-    const auto &current = this->members().members;
-    const bool hasSilentVoter = std::ranges::any_of(
-            current, [&](const QuorumMember &each) { return this->isSilentVoter(each, now); });
-    const std::size_t targetSize = this->options.targetVoters + (hasSilentVoter ? 1 : 0);
+    const std::size_t targetSize = this->options.targetVoters + 1;
     for (const auto &endpointProbe : this->probesByEndpoint) {
         const std::string &endpoint = endpointProbe.first;
         const ProbeRecord &probe = endpointProbe.second;
         if (now > probe.receivedAt + kMaxProbeAge || this->member(probe.folder) != nullptr)
             continue;
-        const bool isReplacement =
-                probe.cluster == 0 && std::ranges::any_of(current, [&](const QuorumMember &each) {
-                    return each.endpoint == endpoint;
-                });
-        if (!isReplacement && current.size() >= targetSize)
+        const bool replacesMember =
+                probe.cluster == 0 && this->isReplacement(endpoint, probe.folder);
+        if (!replacesMember && this->members().members.size() >= targetSize)
             continue;
         if (this->addMember(now, endpoint))
             return;
@@ -463,7 +519,15 @@
 {
     if (!this->leadingTerm(now) || !this->mayChangeMembers())
         return false;
+    const QuorumMembers previous = this->members();
     this->appendAsLeader(QuorumEntryKind::members, { encode(members) });
+    // A removed member gets the entry too: a member that leaves waits for its removal.
+    for (const QuorumMember &each : previous.members) {
+        const auto follower = this->progress.find(each.folder);
+        if (this->member(each.folder) == nullptr && each.folder != this->persistent.folder
+            && follower != this->progress.end())
+            this->replicateTo(each, follower->second);
+    }
     std::erase_if(this->progress,
                   [&](const auto &each) { return this->member(each.first) == nullptr; });
     for (const QuorumMember &to : members.members) {
@@ -638,9 +702,12 @@
     this->leader = this->persistent.folder;
     this->progress.clear();
     this->roundStartTimes.clear();
+    // The latest leader has been silent since its last message.
     for (const QuorumMember &each : this->members().members)
-        this->progress[each.folder] =
-                MemberProgress{ .nextIndex = this->lastIndex() + 1, .lastReplyAt = now };
+        this->progress[each.folder] = MemberProgress{
+            .nextIndex = this->lastIndex() + 1,
+            .lastReplyAt = each.folder == this->lastLeader ? this->lastLeaderMessageAt : now
+        };
     this->roundStartTimes[this->round] = now;
     for (auto &[folder, follower] : this->progress)
         follower.repliedRound = this->round;
@@ -664,6 +731,8 @@
         this->resetElectionTimer(now);
     this->role = Role::follower;
     this->leader = newLeader;
+    if (newLeader != 0)
+        this->lastLeader = newLeader;
     this->progress.clear();
     this->failReads();
 }
@@ -710,12 +779,16 @@
     const auto found = this->progress.find(folder);
     if (folder == this->persistent.folder || to == nullptr || found == this->progress.end())
         return;
-    MemberProgress &follower = found->second;
+    this->replicateTo(*to, found->second);
+}
+
+void Quorum::replicateTo(const QuorumMember &to, MemberProgress &follower)
+{
     // Step 1. When compaction has removed the missing entries, send the snapshot instead.
     if (follower.nextIndex < this->firstSendableIndex())
-        return this->sendSnapshotPart(*to, follower);
+        return this->sendSnapshotPart(to, follower);
     // Step 2. Add as many entries as fit into a batch.
-    AppendRequest request{ .header = this->header(folder),
+    AppendRequest request{ .header = this->header(to.folder),
                            .prevTerm = this->termAt(follower.nextIndex - 1),
                            .prevIndex = follower.nextIndex - 1,
                            .commit = this->commit,
@@ -740,7 +813,7 @@
         if (watermark != this->persistent.watermarks.end())
             request.watermarks.push_back(watermark->second);
     }
-    this->sendToMember(folder, std::move(request));
+    this->send(to.endpoint, std::move(request));
 }
 
 void Quorum::sendSnapshotPart(const QuorumMember &to, MemberProgress &follower)
@@ -748,15 +821,15 @@
     const QuorumSnapshot &snapshot = this->persistent.snapshot;
     const std::string &state = *snapshot.state;
     follower.snapshotOffset = std::min(follower.snapshotOffset, state.size());
-    this->sendToMember(to.folder, SnapshotPart{ .header = this->header(to.folder),
-                                                .lastTerm = snapshot.term,
-                                                .lastIndex = snapshot.index,
-                                                .members = snapshot.members,
-                                                .offset = follower.snapshotOffset,
-                                                .size = state.size(),
-                                                .bytes = state.substr(follower.snapshotOffset,
-                                                                      kSnapshotPartBytes),
-                                                .round = this->round });
+    this->send(to.endpoint,
+               SnapshotPart{ .header = this->header(to.folder),
+                             .lastTerm = snapshot.term,
+                             .lastIndex = snapshot.index,
+                             .members = snapshot.members,
+                             .offset = follower.snapshotOffset,
+                             .size = state.size(),
+                             .bytes = state.substr(follower.snapshotOffset, kSnapshotPartBytes),
+                             .round = this->round });
 }
 
 void Quorum::appendAsLeader(QuorumEntryKind kind, const std::vector<std::string> &payloads)
@@ -819,7 +892,9 @@
         return;
     // Step 2. Follow the sender unless its term is outdated, because only the leader of a term
     // sends append requests.
-    AppendReply reply{ .success = false, .index = 0, .round = request.round };
+    AppendReply reply{
+        .success = false, .index = 0, .round = request.round, .isLeaving = this->isLeaving
+    };
     if (from.term >= this->persistent.term) {
         this->hasSeenLeader = true;
         this->becomeFollower(now, from.term, from.folder);
@@ -867,6 +942,7 @@
         return;
     MemberProgress &follower = found->second;
     follower.lastReplyAt = now;
+    follower.isLeaving = reply.isLeaving;
     if (reply.success) {
         follower.acknowledgedIndex =
                 std::max(follower.acknowledgedIndex, std::min(reply.index, this->lastIndex()));
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -28,12 +28,14 @@
     /// False: this member never bootstraps a group. With an empty data folder, the member waits
     /// until a leader adds it.
     bool mayBootstrap{ true };
-    /// The leader adds instances that send probes until the group has this number of voters.
-    /// 0: the leader adds a member only when `addMember` is called.
+    /// The leader adds instances that send probes until the group has this number of voters, and
+    /// one more as a standby: a learner that holds the log and takes the place of a voter that
+    /// leaves or falls silent. 0: the leader adds a member only when `addMember` is called.
     std::size_t targetVoters{ 0 };
-    /// The leader may replace a voter that has sent no reply for this time. Used only when
-    /// `targetVoters` is not 0.
-    Milliseconds silentVoterTimeout{ 6s };
+    /// The standby replaces a voter that has sent no reply for this time. Together with an election
+    /// the replacement must end before another voter may be lost. Used only when `targetVoters` is
+    /// not 0.
+    Milliseconds silentVoterTimeout{ 2s };
     Milliseconds heartbeatInterval{ 100 };
     /// A member grants no vote for this time after a leader's message. A leader without replies
     /// from a majority for this time steps down.
@@ -162,6 +164,10 @@
     /// in progress.
     bool removeMember(TimePoint now, std::uint64_t folder);
 
+    /// Announces that this member stops soon. The leader replaces it by a standby, if there is one.
+    /// The member sends no probes from now on, so that it is not added again.
+    void leave() { this->isLeaving = true; }
+
     /// Takes a snapshot at the commit index, and drops the log entries that the snapshot
     /// includes, except the last `trailingEntries`. `state` is the encoded replicated state at
     /// the commit index.
@@ -218,6 +224,7 @@
         std::uint64_t repliedRound{ 0 };      ///< latest round that the member replied to
         std::uint64_t snapshotOffset{ 0 };    ///< bytes of the snapshot that are acknowledged
         TimePoint lastReplyAt;                ///< time of the latest reply
+        bool isLeaving{ false };              ///< the member has announced that it stops soon
     };
     struct PendingRead
     {
@@ -259,8 +266,13 @@
     void adoptGroup(std::uint64_t cluster, const QuorumMembers &members);
     void manageMembers(TimePoint now);
     void addProbingInstance(TimePoint now);
-    bool removeSilentVoter(TimePoint now);
-    bool isSilentVoter(const QuorumMember &other, TimePoint now) const;
+    bool promoteLearner(TimePoint now);
+    bool removeReplacedMember(TimePoint now);
+    bool removeDepartingVoter(TimePoint now);
+    bool removeDepartingStandby(TimePoint now);
+    bool isDeparting(const QuorumMember &member, TimePoint now) const;
+    bool isReplacement(const std::string &endpoint, std::uint64_t folder) const;
+    std::size_t voterCount() const;
     bool changeMembers(TimePoint now, const QuorumMembers &members);
     bool mayChangeMembers() const;
     const QuorumMember *member(std::uint64_t folder) const; ///< null when not a member
@@ -287,6 +299,7 @@
     // Replication.
     void startRound(TimePoint now);
     void replicate(std::uint64_t folder);
+    void replicateTo(const QuorumMember &to, MemberProgress &follower);
     void sendSnapshotPart(const QuorumMember &to, MemberProgress &follower);
     void appendAsLeader(QuorumEntryKind kind, const std::vector<std::string> &payloads);
     void appendEntries(const std::vector<QuorumEntry> &entries);
@@ -318,6 +331,8 @@
 
     Role role{ Role::follower };
     std::uint64_t leader{ 0 };     ///< data folder of the leader; 0 when unknown
+    std::uint64_t lastLeader{ 0 }; ///< data folder of the latest leader other than this member
+    bool isLeaving{ false };       ///< this member stops soon
     std::uint64_t commit{ 0 };     ///< commit index
     TimePoint lastLeaderMessageAt; ///< time of the latest message from a leader
     TimePoint electionAt;          ///< time of the next campaign
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -43,6 +43,8 @@
 constexpr Milliseconds kCallTimeout = 900ms;
 /// Time after the start within which applied entries may come from replaying the log.
 constexpr Milliseconds kLogReplayLimit = 3s;
+/// Longest wait of a stopping instance for a standby to take its place in the quorum.
+constexpr Milliseconds kLeaveTimeout = 1s;
 /// A leader grants permits only for this time after a majority confirmed its state. A leader that
 /// was cut off stops to grant before its successor begins.
 constexpr Milliseconds kPermitLeaseTime = 600ms;
@@ -105,7 +107,9 @@
                  .endpoint = ownLinkEndpoint(settings),
                  .controls = seedEndpoints(settings, false),
                  .mayBootstrap = settings.isFirstStart,
-                 .targetVoters = std::size_t{ 2 } * settings.toleratedLosses + 1 },
+                 .targetVoters = std::size_t{ 2 } * settings.toleratedLosses + 1,
+                 .catchUpTime = std::chrono::duration_cast<Milliseconds>(
+                         std::chrono::duration<double>(settings.bounds.catchUp)) },
                { .applied = [this] { this->post([this] { this->onApplied(); }); },
                  .send =
                          [this](const std::string &endpoint, const QuorumMessage &message) {
@@ -143,6 +147,7 @@
 
     void stop()
     {
+        this->node.leave(kLeaveTimeout);
         this->node.stop();
         this->hub.shutdown();
         this->pool.stop();
@@ -210,6 +215,7 @@
         const QuorumStatus status = this->node.quorumStatus();
         appendMetric("votes", status.role == QuorumRole::voter ? 1 : 0);
         appendMetric("voters", status.voters);
+        appendMetric("standbys", status.standbys);
         appendMetric("knows_leader", status.leader.empty() ? 0 : 1);
         appendMetric("limited_upstreams", std::ranges::count_if(this->statements, isLimited));
         appendMetric("segment_crashes_total", this->crashReportCount);
--- a/tests/quorum_replacement_test.cpp
+++ b/tests/quorum_replacement_test.cpp
@@ -60,6 +60,17 @@
         this->loseDataFolder(i);
     }
 
+    /// The instance leaves as planned, ends, and is started again later.
+    void leaveAndEnd(std::size_t i)
+    {
+        this->noteTrouble();
+        if (!this->members[i].quorum)
+            return;
+        this->members[i].quorum->leave();
+        this->run(500ms);
+        this->crash(i);
+    }
+
     void crashAll()
     {
         this->noteTrouble();
@@ -116,7 +127,7 @@
 /// frequent.
 struct ReplacementStep : rc::state::Command<NoModel, SelfManagedGroup>
 {
-    int kind{ *rc::gen::inRange(0, 18) };
+    int kind{ *rc::gen::inRange(0, 19) };
     std::size_t target{ *rc::gen::inRange<std::size_t>(0, kInstances) };
     std::size_t parameter{ *rc::gen::inRange<std::size_t>(0, 40) };
 
@@ -168,6 +179,9 @@
                 group.crashAll();
             group.restartAll();
             break;
+        case 17:
+            group.leaveAndEnd(leaderOrTarget);
+            break;
         default:
             group.maybeLoseDataFolder(this->parameter % 2 == 0 ? leaderOrTarget : this->target);
             break;
@@ -192,8 +206,116 @@
     RC_ASSERT(group.violations == std::vector<std::string>{});
 }
 
+/// Time from the start of an instance until another one may be lost.
+constexpr Milliseconds kPromisedCatchUpTime = 4s;
+
+/// Starts a successor, lets `replaced` leave as planned and ends it; shortly afterwards another
+/// member loses its data folder. Checks that the group goes on and keeps every entry.
+void replaceAsPlannedAndLoseAFolder(QuorumGroup &group, std::size_t replaced, std::size_t successor)
+{
+    group.start(successor, true);
+    group.run(kPromisedCatchUpTime);
+    group.members[replaced].quorum->leave();
+    group.run(1s);
+    group.crash(replaced);
+    group.run(3s);
+    ASSERT_TRUE(group.leader());
+    group.propose(*group.leader(), "kept");
+    group.run(200ms);
+    std::size_t lost = 0;
+    while (lost == replaced || lost == *group.leader() || !group.members[lost].quorum
+           || !group.members[lost].quorum->mayVote())
+        ++lost;
+    group.loseDataFolder(lost);
+    group.run(8s);
+    ASSERT_TRUE(group.leader());
+    EXPECT_TRUE(group.propose(*group.leader(), "next"));
+    group.run(1s);
+    EXPECT_TRUE(votersOf(group).contains(endpointOf(successor)));
+    EXPECT_FALSE(votersOf(group).contains(endpointOf(replaced)));
+    EXPECT_EQ(violationsOf(group), "");
+}
+
 } // namespace
 
+// Guards against a quorum that is lost for good when a disk is lost after a planned replacement.
+TEST(QuorumMembership, APlannedReplacementEndsBeforeAnotherDiskMayBeLost)
+{
+    for (const std::size_t tolerated : { 1U, 2U }) {
+        for (const bool isLeaderReplaced : { false, true }) {
+            const std::size_t voters = 2 * tolerated + 1;
+            QuorumGroup group(voters + 1, 1, 3, voters);
+            group.crash(voters);
+            group.run(6s);
+            ASSERT_EQ(votersOf(group).size(), voters);
+            const std::size_t leader = *group.leader();
+            replaceAsPlannedAndLoseAFolder(group, isLeaderReplaced ? leader : (leader + 1) % voters,
+                                           voters);
+        }
+    }
+}
+
+// Guards against a second replacement that finds no standby, because the first one took the place.
+TEST(QuorumMembership, TwoPlannedReplacementsInARowBothEnd)
+{
+    QuorumGroup group(5, 1, 3, 3);
+    group.crash(3);
+    group.crash(4);
+    group.run(4s);
+    const std::size_t leader = *group.leader();
+    replaceAsPlannedAndLoseAFolder(group, (leader + 1) % 3, 3);
+    group.run(kPromisedCatchUpTime);
+    replaceAsPlannedAndLoseAFolder(group, (leader + 2) % 3, 4);
+}
+
+// Guards against a voter that ends without notice and counts for longer than its successor needs.
+TEST(QuorumMembership, AVoterLostForGoodIsReplacedWithinTheCatchUpTimeOfItsSuccessor)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const bool isLeaderLost : { false, true }) {
+            QuorumGroup group(4, seed, 3, 3);
+            group.crash(3);
+            group.run(4s);
+            const std::size_t leader = *group.leader();
+            const std::size_t lost = isLeaderLost ? leader : (leader + 1) % 3;
+            group.crash(lost);
+            group.start(3, true);
+            group.run(kPromisedCatchUpTime);
+            EXPECT_TRUE(votersOf(group).contains(endpointOf(3))) << "seed " << seed;
+            EXPECT_FALSE(votersOf(group).contains(endpointOf(lost))) << "seed " << seed;
+            EXPECT_EQ(votersOf(group).size(), 3U) << "seed " << seed;
+            EXPECT_EQ(violationsOf(group), "");
+        }
+    }
+}
+
+// Guards against a standby that has failed and is made a voter, or keeps the place of another one.
+TEST(QuorumMembership, AStandbyThatFailsIsNotPromotedAndGivesUpItsPlace)
+{
+    QuorumGroup group(5, 1, 3, 3);
+    group.crash(4);
+    group.run(4s);
+    EXPECT_EQ(votersOf(group).size(), 3U) << "a standby is no voter";
+    EXPECT_EQ(group.members[3].appliedIndex, group.appliedEntries.rbegin()->first);
+    group.crash(3);
+    group.run(1s);
+    const std::size_t replaced = (*group.leader() + 1) % 3;
+    group.crash(replaced);
+    group.run(4s);
+    EXPECT_FALSE(votersOf(group).contains(endpointOf(3)));
+    group.start(4, true);
+    group.run(2s);
+    EXPECT_TRUE(votersOf(group).contains(endpointOf(4)));
+    // The replaced voter comes back as the standby.
+    group.start(replaced, false);
+    group.run(2s);
+    EXPECT_FALSE(votersOf(group).contains(endpointOf(replaced)));
+    group.propose(*group.leader(), "a");
+    group.run(1s);
+    EXPECT_EQ(group.members[replaced].appliedIndex, group.appliedEntries.rbegin()->first);
+    EXPECT_EQ(violationsOf(group), "");
+}
+
 TEST(QuorumMembership, AGroupGrowsToItsTargetVoters)
 {
     QuorumGroup group(5, 1, 3, 5);
