Refuse evacuation orders of unknown age

Cause: the order has no number, so each copy was applied when it was read.

An overdue call is no longer forwarded to the leader.

--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -382,7 +382,7 @@
     void execute(const RestoreState &restore)
     {
         const std::string &state = *restore.snapshot.state;
-        const auto snapshot = state.empty() ? ControlSnapshot{} : decode<ControlSnapshot>(state);
+        const auto snapshot = state.empty() ? ControlSnapshot{} : decodeSnapshot(state);
         if (!snapshot) {
             logError("snapshot can't be decoded", { { "index", restore.snapshot.index } });
             std::abort();
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -105,6 +105,8 @@
                               .claims = this->claims.snapshot() };
     for (const auto &[name, environment] : this->environmentsByName)
         snapshot.environments.push_back(environment);
+    for (const auto &[zone, index] : this->zoneChangeIndexes)
+        snapshot.zoneChanges.push_back({ .zone = zone, .index = index });
     for (const std::string &key : this->requestKeysByAge)
         snapshot.results.push_back(this->resultsByRequestKey.at(key));
     return snapshot;
@@ -120,6 +122,8 @@
     this->claims.restore(snapshot.claims);
     for (const EnvironmentState &environment : snapshot.environments)
         this->environmentsByName[environment.name] = environment;
+    for (const ZoneChange &change : snapshot.zoneChanges)
+        this->zoneChangeIndexes[change.zone] = change.index;
     for (const RequestResult &result : snapshot.results) {
         this->resultsByRequestKey[result.requestKey] = result;
         this->requestKeysByAge.push_back(result.requestKey);
@@ -224,18 +228,43 @@
 
 ControlResult ControlState::applyCommand(const LogPosition &position, const SetZoneOut &command)
 {
-    auto &zones = this->currentOperatorState.zonesOut;
-    const auto found = std::ranges::find(zones, command.zone);
-    const bool isOut = found != zones.end();
-    if (command.isOut && !isOut)
-        zones.push_back(command.zone);
-    else if (!command.isOut && isOut)
-        zones.erase(found);
-    if (command.isOut != isOut)
-        this->currentOperatorState.index = position.index;
+    if (command.isOut != this->isZoneOut(command.zone))
+        this->changeZone(position, command.zone, command.isOut);
     return ControlResult{ .accepted = true, .fence = fenceAt(position) };
 }
 
+/// Changes the service of a zone unless the order was received before the zone's last change: such
+/// an order is an old copy, and its caller has sent later ones. An order that asks for the state in
+/// force is accepted without a change, because resent orders are normal.
+ControlResult ControlState::applyCommand(const LogPosition &position,
+                                         const ChangeZoneService &command)
+{
+    if (command.isOut != this->isZoneOut(command.zone)) {
+        const auto changed = this->zoneChangeIndexes.find(command.zone);
+        if (changed != this->zoneChangeIndexes.end() && changed->second > command.knownIndex)
+            return refusal(kOutdatedOrder);
+        this->changeZone(position, command.zone, command.isOut);
+    }
+    return ControlResult{ .accepted = true, .fence = fenceAt(position) };
+}
+
+bool ControlState::isZoneOut(const std::string &zone) const
+{
+    return std::ranges::find(this->currentOperatorState.zonesOut, zone)
+           != this->currentOperatorState.zonesOut.end();
+}
+
+void ControlState::changeZone(const LogPosition &position, const std::string &zone, bool isOut)
+{
+    auto &zones = this->currentOperatorState.zonesOut;
+    if (isOut)
+        zones.push_back(zone);
+    else
+        std::erase(zones, zone);
+    this->currentOperatorState.index = position.index;
+    this->zoneChangeIndexes[zone] = position.index;
+}
+
 /// Answers a query that was proposed as a command. A query doesn't change the state.
 template <class Query>
 ControlResult ControlState::applyCommand(const LogPosition &, const Query &command)
@@ -317,6 +346,14 @@
     return ControlResult{ .accepted = true, .text = records.dump() };
 }
 
+std::optional<ControlSnapshot> decodeSnapshot(const std::string &bytes)
+{
+    if (auto snapshot = decode<ControlSnapshot>(bytes))
+        return snapshot;
+    const std::string noZoneChanges = std::string(sizeof(std::uint32_t), '\0');
+    return decode<ControlSnapshot>(bytes + noZoneChanges);
+}
+
 std::optional<EnvironmentDocument> parseDocument(const std::string &text, std::string &problem)
 {
     JsonProblem malformed;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -75,6 +75,7 @@
     ControlResult applyCommand(const LogPosition &position, const FinishClaim &command);
     ControlResult applyCommand(const LogPosition &position, const PutNumberedText &command);
     ControlResult applyCommand(const LogPosition &position, const SetZoneOut &command);
+    ControlResult applyCommand(const LogPosition &position, const ChangeZoneService &command);
     template <class Query>
     ControlResult applyCommand(const LogPosition &position, const Query &command);
 
@@ -82,6 +83,8 @@
     ControlResult storeTrialDocument(const LogPosition &position, const SubmitDocument &command);
     ControlResult promoteTrialDocument(const LogPosition &position, const PromoteDocument &command);
     ControlResult storeOperators(const LogPosition &position, const ChangeOperators &command);
+    bool isZoneOut(const std::string &zone) const;
+    void changeZone(const LogPosition &position, const std::string &zone, bool isOut);
 
     /// Runs `change` once for each request, and returns the stored result for a resend. `record`
     /// names the operator and the request id; `canonicalContent` is the rest of the request. A
@@ -99,6 +102,8 @@
     std::map<std::string, EnvironmentState> environmentsByName;
     StoredRevision currentOperators;
     OperatorState currentOperatorState;
+    /// Log index of the last change of each availability zone's service.
+    std::map<std::string, std::uint64_t> zoneChangeIndexes;
     ClaimTable claims;
     std::map<std::string, RequestResult> resultsByRequestKey; ///< by operator and request id
     std::deque<std::string> requestKeysByAge;                 ///< oldest first
@@ -106,6 +111,13 @@
     Milliseconds time{ 0 }; ///< highest proposal time of an applied command
 };
 
+/// Reason of a refusal of an order that names an older state than the one in force.
+inline constexpr const char *kOutdatedOrder = "outdated-order";
+
+/// Decodes a snapshot of this or an earlier release, which knew no changes of zones. Empty when
+/// `bytes` is malformed. Thread safe.
+std::optional<ControlSnapshot> decodeSnapshot(const std::string &bytes);
+
 /// Parses a document and checks every field. When the text is invalid, returns nothing and
 /// sets `problem` to the path of the invalid field and the error. Thread safe.
 std::optional<EnvironmentDocument> parseDocument(const std::string &text, std::string &problem);
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -5,6 +5,7 @@
 #include "link.h"
 #include "log.h"
 #include "node_options.h"
+#include "order_gate.h"
 #include "program.h"
 #include "quarantine_control.h"
 #include "registry.h"
@@ -187,6 +188,26 @@
         this->submitCall(id);
     }
 
+    void changeZoneService(const std::string &zone, bool isOut, std::function<bool()> isCallerGone,
+                           Done done)
+    {
+        const TimePoint readAt = bootNow();
+        // The state that is known now, before an order that was read late may learn of later ones.
+        const ChangeZoneService command{ .zone = zone,
+                                         .isOut = isOut,
+                                         .knownIndex = std::max(this->appliedState->index,
+                                                                this->lastResultIndex) };
+        this->pool.after(this->orderGate.checkDelay(),
+                         [this, readAt, command, isCallerGone = std::move(isCallerGone),
+                          done = std::move(done)] {
+                             if (this->orderGate.isCurrent(readAt, isCallerGone(), bootNow()))
+                                 return this->call(command, done);
+                             logWarn("order of unknown age refused",
+                                     { { "zone", command.zone }, { "isOut", command.isOut } });
+                             done(ControlResult{ .reason = kOutdatedOrder });
+                         });
+    }
+
     void addSeeds(const std::vector<std::string> &seeds)
     {
         for (const std::string &seed : seeds) {
@@ -628,7 +649,8 @@
     void onLocalResult(std::uint64_t id, const ControlResult &result)
     {
         const auto found = this->pendingCalls.find(id);
-        if (found == this->pendingCalls.end())
+        // An overdue call is not sent to the leader: its caller has sent the command elsewhere.
+        if (found == this->pendingCalls.end() || bootNow() >= found->second.deadline)
             return;
         const bool isLeaderElsewhere = result.reason == kNotLeader && !result.leader.empty()
                                        && result.leader != ownLinkEndpoint(this->settings);
@@ -648,6 +670,8 @@
             return;
         const Done done = std::move(found->second.done);
         this->pendingCalls.erase(found);
+        if (result.accepted)
+            this->lastResultIndex = std::max(this->lastResultIndex, result.fence.sequence);
         done(result);
     }
 
@@ -662,6 +686,7 @@
     void tick()
     {
         const TimePoint now = bootNow();
+        this->orderGate.onTurn(now);
         std::vector<Done> expiredCalls;
         std::vector<std::uint64_t> callsToResend;
         for (auto call = this->pendingCalls.begin(); call != this->pendingCalls.end();) {
@@ -709,6 +734,8 @@
     std::optional<TimePoint> confirmedAt; ///< time of the request that was confirmed last
     std::map<std::uint64_t, PendingCall> pendingCalls;
     std::uint64_t lastCallId{ 0 };
+    std::uint64_t lastResultIndex{ 0 }; ///< highest log index of a command accepted for a call
+    OrderGate orderGate;
     std::uint64_t unavailableCallCount{ 0 };
     std::uint64_t announcementCount{ 0 };
     std::optional<std::uint64_t> permitTerm; ///< term in which this instance leads, empty for none
@@ -754,6 +781,12 @@
     this->impl->call(command, std::move(done));
 }
 
+void RegistryNode::changeZoneService(const std::string &zone, bool isOut,
+                                     std::function<bool()> isCallerGone, Done done)
+{
+    this->impl->changeZoneService(zone, isOut, std::move(isCallerGone), std::move(done));
+}
+
 QuorumStatus RegistryNode::quorumStatus()
 {
     return this->impl->quorumStatus();
--- a/src/registry_node.h
+++ b/src/registry_node.h
@@ -60,6 +60,14 @@
     /// result has the reason "unavailable", and a command may still take effect afterwards.
     void call(const ControlCommand &command, Done done);
 
+    /// Takes an availability zone out of service or puts it back, on an operator's order. The order
+    /// names no version of the zone's state: it is refused with the reason "outdated-order" when it
+    /// may be an old copy that waited while this process or its caller went on, and when the zone
+    /// was changed after the state that this instance knows. `isCallerGone` returns whether the
+    /// operator has closed the connection that carried the order; called on the context's thread.
+    void changeZoneService(const std::string &zone, bool isOut, std::function<bool()> isCallerGone,
+                           Done done);
+
     /// Returns this instance's role in the control quorum, and the leader as known here.
     QuorumStatus quorumStatus();
 
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -147,3 +147,44 @@
     state.apply({ .term = 1, .index = 3 }, SetZoneOut{ .zone = "a", .isOut = false });
     EXPECT_TRUE(state.operatorState().zonesOut.empty());
 }
+
+// Guards against an old copy of an evacuation order that is carried out after a newer order.
+TEST(ControlState, AnOrderThatIsOlderThanTheZonesLastChangeIsRefused)
+{
+    ControlState state;
+    const auto order = [&](std::uint64_t index, bool isOut, std::uint64_t knownIndex) {
+        return state.apply(
+                { .term = 1, .index = index },
+                ChangeZoneService{ .zone = "a", .isOut = isOut, .knownIndex = knownIndex });
+    };
+    EXPECT_TRUE(order(1, true, 0).accepted);
+    EXPECT_TRUE(order(2, false, 1).accepted);
+    EXPECT_TRUE(order(3, true, 2).accepted);
+    EXPECT_EQ(order(4, false, 1).reason, kOutdatedOrder) << "the copy was read before index 2";
+    EXPECT_EQ(state.operatorState().zonesOut, std::vector<std::string>{ "a" });
+    EXPECT_TRUE(order(5, true, 0).accepted) << "a resend of the order in force is acknowledged";
+    EXPECT_EQ(state.operatorState().index, 3U);
+    ControlState restored;
+    restored.restore(*decodeSnapshot(encode(state.snapshot())));
+    EXPECT_EQ(restored.apply({ .term = 1, .index = 6 },
+                             ChangeZoneService{ .zone = "a", .isOut = false, .knownIndex = 2 })
+                      .reason,
+              kOutdatedOrder);
+    EXPECT_TRUE(restored.apply({ .term = 1, .index = 7 },
+                               ChangeZoneService{ .zone = "a", .isOut = false, .knownIndex = 3 })
+                        .accepted);
+}
+
+// Guards against snapshots of the release before, which end without the changes of zones.
+TEST(ControlState, ReadsSnapshotsWithoutChangesOfZones)
+{
+    ControlState state;
+    state.apply({ .term = 1, .index = 1 },
+                PutNumberedText{ .text = { .name = "d", .number = 4, .text = "four" } });
+    std::string bytes = encode(state.snapshot());
+    bytes.resize(bytes.size() - sizeof(std::uint32_t));
+    const auto snapshot = decodeSnapshot(bytes);
+    ASSERT_TRUE(snapshot);
+    EXPECT_EQ(snapshot->operatorState, state.operatorState());
+    EXPECT_FALSE(decodeSnapshot(bytes.substr(0, bytes.size() - 1)));
+}
