Date every text from the moment a registry sees it in force

Cause: within 3 s of its start a registry recorded no time for a text that came into force, as the text might come from the replayed log, and the time stayed unknown for good. Gateways have no deadline for a version without a time.

A text now dates from the moment at which the registry saw it in force. For a replayed one that is its start, when it was certainly in force: the deadline ends late by at most the time since the restart, and it does end. Gateways take the earliest time that any registry reports, also one that comes after a later one. Views carry the versions that were replaced within the last minute: a gateway that restarted between the naming of two versions never learned the deadline of the first.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -441,6 +441,8 @@
         VersionDeadlines &deadlines =
                 this->versionDeadlines.try_emplace(model, this->settings.bounds.version)
                         .first->second;
+        for (const auto &[number, since] : this->viewReader.view().replacedNumbers(text.name))
+            deadlines.onVersionInForce(number, since);
         const bool isNewVersion = deadlines.onVersionInForce(text.number, inForceSince);
         if (isNewVersion)
             logInfo("weights version is in force", { { "text", text.name },
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -10,6 +10,7 @@
 #include "quarantine_control.h"
 #include "registry.h"
 #include "slow_start_permits.h"
+#include "text_times.h"
 #include "upstream_statements.h"
 #include "view_schedule.h"
 
@@ -42,8 +43,6 @@
 /// because the client that made the call tries another registry after one second.
 constexpr Milliseconds kCallRetryPeriod = 150ms;
 constexpr Milliseconds kCallTimeout = 900ms;
-/// Time after the start within which applied entries may come from replaying the log.
-constexpr Milliseconds kLogReplayLimit = 3s;
 /// Longest wait of a stopping instance for a standby to take its place in the quorum.
 constexpr Milliseconds kLeaveTimeout = 1s;
 /// A leader grants permits only for this time after a majority confirmed its state. A leader that
@@ -355,6 +354,12 @@
         const bool sendsDocument =
                 pull && pull->wantsDocument && document.number > reader.documentNumber;
         view.state = this->stateWithoutDocument(now);
+        for (const NumberedText &text : view.state.texts) {
+            if (!text.name.starts_with(kWeightsTextPrefix))
+                continue;
+            std::ranges::move(this->textTimes.replacedLately(text, now),
+                              std::back_inserter(view.replacedTexts));
+        }
         if (sendsDocument)
             view.state.texts.push_back(document);
         if (!reader.link->send(view))
@@ -372,8 +377,7 @@
         return found == this->appliedState->texts.end() ? NumberedText{} : *found;
     }
 
-    /// Returns the operators' state without the document, and sets `timeInForce` of each text whose
-    /// start of validity is known.
+    /// Returns the operators' state without the document, and sets `timeInForce` of each text.
     OperatorState stateWithoutDocument(TimePoint now) const
     {
         OperatorState stateWithAges{ .index = this->appliedState->index,
@@ -382,10 +386,7 @@
             if (text.name == kDocumentText)
                 continue;
             stateWithAges.texts.push_back(text);
-            const auto entry = this->inForceSince.find(text.name);
-            if (entry != this->inForceSince.end() && entry->second.first == text.number)
-                stateWithAges.texts.back().timeInForce = std::max<Milliseconds>(
-                        1ms, std::chrono::floor<Milliseconds>(now - entry->second.second));
+            stateWithAges.texts.back().timeInForce = this->textTimes.timeInForce(text, now);
         }
         return stateWithAges;
     }
@@ -412,7 +413,7 @@
         const OperatorState applied = this->node.operatorState();
         if (applied.index == this->appliedState->index)
             return;
-        this->recordChangeTimes(applied);
+        this->textTimes.onApplied(applied.texts, bootNow());
         const auto previous =
                 std::exchange(this->appliedState, std::make_shared<const OperatorState>(applied));
         for (const NumberedText &text : applied.texts) {
@@ -428,18 +429,6 @@
         this->pushViews();
     }
 
-    /// Records the time at which each text came into force. Within `kLogReplayLimit` of the start
-    /// no time is recorded, because applied entries may be old entries of the replayed log.
-    void recordChangeTimes(const OperatorState &applied)
-    {
-        const TimePoint now = bootNow();
-        for (const NumberedText &text : applied.texts) {
-            const bool isChanged = numberOf(*this->appliedState, text.name) != text.number;
-            if (isChanged && now > this->startedAt + kLogReplayLimit)
-                this->inForceSince[text.name] = { text.number, now };
-        }
-    }
-
     /// On the leader, asks a majority to confirm that the applied state is current. On any other
     /// member, marks the state as unconfirmed.
     void confirm()
@@ -728,9 +717,7 @@
     std::uint64_t pushedViewCount{ 0 };
     std::set<std::string> otherRegistries; ///< link addresses of the other registry instances
     std::shared_ptr<const OperatorState> appliedState{ std::make_shared<const OperatorState>() };
-    const TimePoint startedAt{ bootNow() };
-    /// By text name: the text's number and the time at which the text came into force.
-    std::map<std::string, std::pair<std::uint64_t, TimePoint>> inForceSince;
+    TextTimes textTimes;
     std::optional<TimePoint> confirmedAt; ///< time of the request that was confirmed last
     std::map<std::uint64_t, PendingCall> pendingCalls;
     std::uint64_t lastCallId{ 0 };
--- a/src/view_state.cpp
+++ b/src/view_state.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Difference by which the times that two registry instances report for the same event may vary.
+constexpr Milliseconds kInForceTolerance = 50ms;
+constexpr std::size_t kMaxNumbersOfText = 32;
+
 Milliseconds sinceEpoch(TimePoint at)
 {
     return std::chrono::floor<Milliseconds>(at.time_since_epoch());
@@ -45,9 +49,14 @@
     }
     for (const NumberedText &text : view.state.texts) {
         const bool isNew = this->storeText(text);
-        changes.state = this->storeInForceTime(text, now) || isNew || changes.state;
+        const bool isTimeNew =
+                this->storeInForceTime(text.name, text.number, text.timeInForce, now);
+        changes.state = isTimeNew || isNew || changes.state;
         changes.document = changes.document || (isNew && text.name == kDocumentName);
     }
+    for (const TextTime &text : view.replacedTexts)
+        changes.state = this->storeInForceTime(text.name, text.number, text.timeInForce, now)
+                        || changes.state;
     if (view.isConfirmed)
         this->lastConfirmingRegistry = registry;
     for (const UpstreamRecord &record : view.upstreams) {
@@ -86,27 +95,42 @@
     if (text.number <= current->number)
         return false;
     *current = text;
-    this->inForceSinceByName.erase(text.name);
     return true;
 }
 
-/// Stores the earliest reported time at which a text was put in force; true when no time was
-/// stored before. Does nothing if the reported time is unknown or if the number of `text` differs
-/// from the number of the stored text.
-bool ViewState::storeInForceTime(const NumberedText &text, TimePoint now)
+/// Stores the earliest reported time at which a number of a text was put in force; true when no
+/// time was stored before, or a clearly later one by an instance that restarted. Does nothing if
+/// the reported time is unknown.
+bool ViewState::storeInForceTime(const std::string &name, std::uint64_t number,
+                                 Milliseconds timeInForce, TimePoint now)
 {
-    if (text.timeInForce == 0ms || text.number != this->textNumber(text.name))
+    if (timeInForce == 0ms)
         return false;
-    const TimePoint at = now - text.timeInForce;
-    const auto [stored, isNew] = this->inForceSinceByName.emplace(text.name, at);
+    const TimePoint at = now - timeInForce;
+    auto &times = this->inForceSinceByName[name];
+    const auto [stored, isNew] = times.emplace(number, at);
+    const bool isEarlier = at + kInForceTolerance < stored->second;
     stored->second = std::min(stored->second, at);
-    return isNew;
+    if (times.size() > kMaxNumbersOfText)
+        times.erase(times.begin());
+    return isNew || isEarlier;
 }
 
 std::optional<TimePoint> ViewState::inForceSince(const std::string &textName) const
 {
-    const auto found = this->inForceSinceByName.find(textName);
-    return found == this->inForceSinceByName.end() ? std::nullopt : std::optional(found->second);
+    const auto times = this->inForceSinceByName.find(textName);
+    if (times == this->inForceSinceByName.end())
+        return std::nullopt;
+    const auto found = times->second.find(this->textNumber(textName));
+    return found == times->second.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::map<std::uint64_t, TimePoint> ViewState::replacedNumbers(const std::string &textName) const
+{
+    const auto times = this->inForceSinceByName.find(textName);
+    if (times == this->inForceSinceByName.end())
+        return {};
+    return { times->second.begin(), times->second.lower_bound(this->textNumber(textName)) };
 }
 
 std::uint64_t ViewState::textNumber(const std::string &textName) const
--- a/src/view_state.h
+++ b/src/view_state.h
@@ -68,6 +68,10 @@
     /// has reported the time.
     std::optional<TimePoint> inForceSince(const std::string &textName) const;
 
+    /// Times at which the numbers of the text `textName` that were replaced lately had been put in
+    /// force, by number.
+    std::map<std::uint64_t, TimePoint> replacedNumbers(const std::string &textName) const;
+
     /// Version number of the stored text `textName`; 0 when no text of this name is stored.
     std::uint64_t textNumber(const std::string &textName) const;
 
@@ -95,7 +99,8 @@
     };
 
     bool storeText(const NumberedText &text);
-    bool storeInForceTime(const NumberedText &text, TimePoint now);
+    bool storeInForceTime(const std::string &name, std::uint64_t number, Milliseconds timeInForce,
+                          TimePoint now);
 
     static constexpr const char *kDocumentName = "document";
 
@@ -104,8 +109,8 @@
     OperatorState operatorState;
     UpstreamRecords records;
     std::set<std::string> registryEndpoints;
-    /// Time at which each text was put in force, by name of the text.
-    std::map<std::string, TimePoint> inForceSinceByName;
+    /// Earliest reported time at which a text was put in force, by its name and number.
+    std::map<std::string, std::map<std::uint64_t, TimePoint>> inForceSinceByName;
     std::uint64_t highestDocumentNumber{ 0 };
     std::optional<TimePoint> leaseEnd; ///< empty: no lease was granted yet
     std::string lastConfirmingRegistry;
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -256,3 +256,24 @@
     state.apply("r1", newer, kStart + 1s);
     EXPECT_FALSE(state.inForceSince("weights/m"));
 }
+
+// Guards against a gateway that keeps the late time of a registry instance that restarted.
+TEST(ViewState, TheEarliestTimeInForceCountsAndIsReported)
+{
+    ViewState state({ .instance = "g" });
+    View view{ .incarnation = 1,
+               .state = { .index = 3, .texts = { { .name = "weights/m", .number = 3 } } },
+               .hasState = true };
+    view.state.texts.front().timeInForce = 1s;
+    EXPECT_TRUE(state.apply("r1", view, kStart).state);
+    view.hasState = false;
+    view.state.texts.front().timeInForce = 6s;
+    view.replacedTexts = { { .name = "weights/m", .number = 2, .timeInForce = 7s } };
+    EXPECT_TRUE(state.apply("r2", view, kStart).state);
+    EXPECT_EQ(state.inForceSince("weights/m"), kStart - 6s);
+    EXPECT_EQ(state.replacedNumbers("weights/m"),
+              (std::map<std::uint64_t, TimePoint>{ { 2, kStart - 7s } }));
+    view.state.texts.front().timeInForce = 2s;
+    EXPECT_FALSE(state.apply("r1", view, kStart).state);
+    EXPECT_EQ(state.inForceSince("weights/m"), kStart - 6s);
+}
