Refuse announcements that no reader could use

One writer that announced an upstream with a service name of 3 MB every 0.5 s made gateways useless: one that started beside it served nothing, and after a registry's restart no gateway served anything (0 of 10 each) and sound upstreams weren't seen. Other odd announcements were accepted and passed on to all gateways: port 0, an address with CR LF, which goes into a Host header, names of 100 KB and more, an unknown zone, a start in the far future, which keeps the sound owner of the id away, slots cut to 32 bits, a slow start converted out of range. One that is not UTF-8 got no answer.

Cause: an announcement was checked for types, not for what its readers can bear. A view with it didn't fit into a frame, so that no view reached anybody.

Many small announcements: at most 4,000 upstreams are known, views and messages between registries carry 1,000 records at most, in the order of the changes, and the reader pulls the rest.

--- a/src/registry.cpp
+++ b/src/registry.cpp
@@ -103,18 +103,27 @@
     return isAnyChanged;
 }
 
-std::vector<UpstreamRecord> Registry::changesSince(std::uint64_t changeNumber, TimePoint now) const
+RecordChanges Registry::changesSince(std::uint64_t changeNumber, TimePoint now,
+                                     std::size_t limit) const
 {
-    std::vector<UpstreamRecord> changedRecords;
+    RecordChanges changes{ .lastChange = this->lastChangeNumber };
     if (changeNumber >= this->lastChangeNumber)
-        return changedRecords;
+        return changes;
+    std::map<std::uint64_t, const std::string *> idsByChange;
     for (const auto &[id, entry] : this->entries) {
-        const UpstreamRecord *record = this->records.find(id);
-        if (record == nullptr || entry.changeNumber <= changeNumber)
-            continue;
-        changedRecords.push_back(agedRecord(*record, entry, now));
+        if (entry.changeNumber > changeNumber && this->records.find(id) != nullptr)
+            idsByChange.emplace(entry.changeNumber, &id);
+    }
+    std::uint64_t lastIncluded = changeNumber;
+    for (const auto &[change, id] : idsByChange) {
+        if (changes.records.size() == limit) {
+            changes.lastChange = lastIncluded;
+            break;
+        }
+        changes.records.push_back(agedRecord(*this->records.find(*id), this->entries.at(*id), now));
+        lastIncluded = change;
     }
-    return changedRecords;
+    return changes;
 }
 
 } // namespace egret
--- a/src/registry.h
+++ b/src/registry.h
@@ -17,6 +17,16 @@
     /// Time for which the record of a departed upstream is kept: longer than the network may delay
     /// an announcement, because an announcement after the removal would add the upstream again.
     Milliseconds departedRetention{ 60s };
+    /// Bound on the known upstreams. Announcements of further ones are not accepted, so that a
+    /// writer of endless new names can't exhaust the memory of the readers.
+    std::size_t maxUpstreams{ 4000 };
+};
+
+/// Records that a reader lacks.
+struct RecordChanges
+{
+    std::vector<UpstreamRecord> records;
+    std::uint64_t lastChange{ 0 }; ///< number of the last change that `records` include
 };
 
 /// Upstreams known to one registry instance, from their own announcements and from other
@@ -51,9 +61,17 @@
     /// Number of the last change; 0 before the first change.
     std::uint64_t change() const { return this->lastChangeNumber; }
 
-    /// Returns the records that changed after `changeNumber`. Their `coldFor`, the remaining time
-    /// of slow start, is reduced to the value at `now`.
-    std::vector<UpstreamRecord> changesSince(std::uint64_t changeNumber, TimePoint now) const;
+    /// Returns the records that changed after `changeNumber`, in the order of the changes and at
+    /// most `limit` of them. Their `coldFor`, the remaining time of slow start, is reduced to the
+    /// value at `now`.
+    RecordChanges changesSince(std::uint64_t changeNumber, TimePoint now,
+                               std::size_t limit = SIZE_MAX) const;
+
+    /// False for an unknown upstream while `maxUpstreams` are known.
+    bool hasRoomFor(const std::string &id) const
+    {
+        return this->entries.size() < this->options.maxUpstreams || this->entries.contains(id);
+    }
 
     /// Returns the record of an upstream, also of a departed one; null when it is unknown.
     const UpstreamRecord *find(const std::string &id) const { return this->records.find(id); }
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -11,6 +11,7 @@
 #include "registry.h"
 #include "slow_start_permits.h"
 #include "text_times.h"
+#include "upstream_check.h"
 #include "upstream_statements.h"
 #include "view_schedule.h"
 
@@ -45,6 +46,9 @@
 constexpr Milliseconds kCallTimeout = 900ms;
 /// Longest wait of a stopping instance for a standby to take its place in the quorum.
 constexpr Milliseconds kLeaveTimeout = 1s;
+/// Bound on the records in a view or in a message to another registry. Records are small, so the
+/// message stays far below the limit of a frame, and the reader pulls the rest.
+constexpr std::size_t kMaxRecordsPerMessage = 1000;
 /// A leader grants permits only for this time after a majority confirmed its state. A leader that
 /// was cut off stops to grant before its successor begins.
 constexpr Milliseconds kPermitLeaseTime = 600ms;
@@ -85,6 +89,12 @@
     UpstreamStatements statements;
 };
 
+Milliseconds wallTime()
+{
+    return std::chrono::duration_cast<Milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+}
+
 /// Returns the number of a text in the operators' state; empty when there is no such text.
 std::optional<std::uint64_t> numberOf(const OperatorState &state, const std::string &textName)
 {
@@ -153,9 +163,12 @@
         this->pool.stop();
     }
 
-    void announce(const UpstreamRecord &record)
+    std::string announce(const UpstreamRecord &record)
     {
         ++this->announcementCount;
+        const std::string error = this->announcementProblem(record);
+        if (!error.empty())
+            return error;
         if (this->registry.onAnnouncement(record, bootNow())) {
             logInfo("upstream announced", { { "upstream", record.id },
                                             { "service", record.service },
@@ -165,14 +178,19 @@
                                             { "version", record.version } });
             this->onUpstreamsChanged();
         }
+        return "";
     }
 
     void markDeparted(const std::string &id, std::optional<std::uint64_t> startedAtMs)
     {
-        const auto sinceEpoch = std::chrono::duration_cast<Milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch());
-        const auto startMs = startedAtMs.value_or(static_cast<std::uint64_t>(sinceEpoch.count()));
-        if (this->registry.markDeparted(id, startMs, bootNow())) {
+        // Without a start, the departure is taken for that of the present incarnation.
+        const UpstreamRecord *known = this->registry.find(id);
+        const auto presentStartMs = known != nullptr
+                                            ? known->startedAtMs
+                                            : static_cast<std::uint64_t>(wallTime().count());
+        const std::uint64_t startMs = startedAtMs.value_or(presentStartMs);
+        const bool isRefused = id.size() > kMaxAnnouncedName || !this->registry.hasRoomFor(id);
+        if (!isRefused && this->registry.markDeparted(id, startMs, bootNow())) {
             logInfo("upstream departed", { { "upstream", id } });
             this->onUpstreamsChanged();
         }
@@ -344,11 +362,13 @@
                    .confirmationAge = this->confirmedAt ? std::chrono::ceil<Milliseconds>(
                                               now - *this->confirmedAt)
                                                         : 0ms,
-                   .change = this->registry.change(),
                    .gatewayCount = this->gatewayCount,
                    .registries = { this->otherRegistries.begin(), this->otherRegistries.end() },
-                   .hasState = this->appliedState->index > reader.stateIndex,
-                   .upstreams = this->registry.changesSince(reader.change, now) };
+                   .hasState = this->appliedState->index > reader.stateIndex };
+        RecordChanges changes =
+                this->registry.changesSince(reader.change, now, kMaxRecordsPerMessage);
+        view.change = changes.lastChange;
+        view.upstreams = std::move(changes.records);
         const NumberedText document = this->document();
         view.documentNumber = document.number;
         const bool sendsDocument =
@@ -597,6 +617,14 @@
 
     // Upstreams.
 
+    std::string announcementProblem(const UpstreamRecord &record) const
+    {
+        const std::string error = announcementError(record, this->settings.regions, wallTime());
+        if (!error.empty())
+            return error;
+        return this->registry.hasRoomFor(record.id) ? "" : "too many upstreams";
+    }
+
     void onUpstreamsChanged()
     {
         this->sendAnnouncements();
@@ -609,16 +637,26 @@
             if (endpoint != ownLinkEndpoint(this->settings))
                 this->otherRegistries.insert(endpoint);
         }
-        const UpstreamAnnouncements update{ .records = this->registry.takeAnnounced(bootNow()) };
-        if (update.records.empty())
-            return;
-        for (const std::string &other : this->otherRegistries)
-            this->hub.send(other, Channel::control, update);
+        const std::vector<UpstreamRecord> records = this->registry.takeAnnounced(bootNow());
+        for (std::size_t first = 0; first < records.size(); first += kMaxRecordsPerMessage) {
+            const auto last = std::min(records.size(), first + kMaxRecordsPerMessage);
+            const UpstreamAnnouncements update{
+                .records = { records.begin() + static_cast<std::ptrdiff_t>(first),
+                             records.begin() + static_cast<std::ptrdiff_t>(last) }
+            };
+            for (const std::string &other : this->otherRegistries)
+                this->hub.send(other, Channel::control, update);
+        }
     }
 
     void onPeerAnnouncements(const UpstreamAnnouncements &update)
     {
-        if (this->registry.onPeerRecords(update.records, bootNow()))
+        std::vector<UpstreamRecord> acceptable = update.records;
+        std::erase_if(acceptable, [this](const UpstreamRecord &record) {
+            return record.notice != AnnouncedState::gone
+                   && !this->announcementProblem(record).empty();
+        });
+        if (this->registry.onPeerRecords(acceptable, bootNow()))
             this->pushViews();
     }
 
@@ -753,9 +791,9 @@
     return this->impl->workers().context();
 }
 
-void RegistryNode::announce(const UpstreamRecord &record)
+std::string RegistryNode::announce(const UpstreamRecord &record)
 {
-    this->impl->announce(record);
+    return this->impl->announce(record);
 }
 
 void RegistryNode::markDeparted(const std::string &id, std::optional<std::uint64_t> startedAtMs)
--- a/src/registry_node.h
+++ b/src/registry_node.h
@@ -48,12 +48,13 @@
     /// The context whose thread runs this instance.
     asio::io_context &context();
 
-    /// Processes an announcement that the upstream itself sent.
-    void announce(const UpstreamRecord &record);
+    /// Processes an announcement that the upstream itself sent. Returns why the announcement is not
+    /// acceptable, empty when it was accepted.
+    std::string announce(const UpstreamRecord &record);
 
     /// Processes the departure of upstream `id`. `startedAtMs`: start of the departing upstream
     /// process in milliseconds since the epoch. When the upstream did not state its start,
-    /// `startedAtMs` is empty and the current time is used.
+    /// `startedAtMs` is empty and the departure is taken for that of the present one.
     void markDeparted(const std::string &id, std::optional<std::uint64_t> startedAtMs);
 
     /// Runs a command or query at the quorum's leader. When no leader answers in time, the
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -96,10 +96,10 @@
     EXPECT_TRUE(registry.onAnnouncement(recordOf("i", 1, 1), kStart));
     const std::uint64_t seenChangeNumber = registry.change();
     EXPECT_FALSE(registry.onAnnouncement(recordOf("i", 1, 2), kStart));
-    EXPECT_TRUE(registry.changesSince(seenChangeNumber, kStart).empty());
+    EXPECT_TRUE(registry.changesSince(seenChangeNumber, kStart).records.empty());
     EXPECT_TRUE(registry.onAnnouncement(recordOf("j", 1, 1, "10.0.0.2:80"), kStart));
-    ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart).size(), 1U);
-    EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart).front().id, "j");
+    ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart).records.size(), 1U);
+    EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart).records.front().id, "j");
     EXPECT_EQ(registry.takeAnnounced(kStart).size(), 2U);
     EXPECT_TRUE(registry.takeAnnounced(kStart).empty());
 }
@@ -110,9 +110,9 @@
     registry.onAnnouncement(recordOf("i", 1, 1), kStart);
     EXPECT_FALSE(registry.tick(kStart + 4s));
     EXPECT_TRUE(registry.tick(kStart + 4100ms));
-    EXPECT_TRUE(registry.changesSince(0, kStart).front().isSilent);
+    EXPECT_TRUE(registry.changesSince(0, kStart).records.front().isSilent);
     EXPECT_TRUE(registry.onPeerRecords({ recordOf("i", 1, 2) }, kStart + 5s));
-    EXPECT_FALSE(registry.changesSince(0, kStart).front().isSilent);
+    EXPECT_FALSE(registry.changesSince(0, kStart).records.front().isSilent);
 }
 
 TEST(Registry, SlowStartTimeIsTheRemainingTime)
@@ -121,8 +121,8 @@
     UpstreamRecord cold = recordOf("i", 1, 1);
     cold.coldFor = 3s;
     registry.onAnnouncement(cold, kStart);
-    EXPECT_EQ(registry.changesSince(0, kStart + 1s).front().coldFor, 2s);
-    EXPECT_EQ(registry.changesSince(0, kStart + 9s).front().coldFor, 0ms);
+    EXPECT_EQ(registry.changesSince(0, kStart + 1s).records.front().coldFor, 2s);
+    EXPECT_EQ(registry.changesSince(0, kStart + 9s).records.front().coldFor, 0ms);
 }
 
 TEST(Registry, UpstreamThatTurnsColdAgainDuringSlowStartIsAChange)
@@ -138,8 +138,8 @@
     cold.sequence = 3;
     cold.coldFor = 3s;
     EXPECT_TRUE(registry.onAnnouncement(cold, kStart + 2s));
-    ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).size(), 1U);
-    EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).front().coldFor, 2s);
+    ASSERT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).records.size(), 1U);
+    EXPECT_EQ(registry.changesSince(seenChangeNumber, kStart + 3s).records.front().coldFor, 2s);
 }
 
 TEST(Registry, OutdatedAnnouncementDoesNotProlongSlowStart)
@@ -151,7 +151,7 @@
     UpstreamRecord outdated = recordOf("i", 1, 4);
     outdated.coldFor = 3s;
     EXPECT_FALSE(registry.onAnnouncement(outdated, kStart + 2s));
-    EXPECT_EQ(registry.changesSince(0, kStart + 2s).front().coldFor, 1s);
+    EXPECT_EQ(registry.changesSince(0, kStart + 2s).records.front().coldFor, 1s);
 }
 
 TEST(Registry, RecordsForOtherRegistriesCarryTheRemainingSlowStart)
@@ -277,3 +277,27 @@
     EXPECT_FALSE(state.apply("r1", view, kStart).state);
     EXPECT_EQ(state.inForceSince("weights/m"), kStart - 6s);
 }
+
+// Guards against a view that is too large to be sent because of many small records.
+TEST(Registry, ManyChangesAreReportedInParts)
+{
+    Registry registry({ .maxUpstreams = 5 });
+    for (int i = 0; i < 5; ++i)
+        registry.onAnnouncement(
+                recordOf("i" + std::to_string(9 - i), 1, 1, "10.0.0." + std::to_string(i) + ":80"),
+                kStart);
+    EXPECT_TRUE(registry.hasRoomFor("i9"));
+    EXPECT_FALSE(registry.hasRoomFor("j")) << "a further upstream would exceed the bound";
+    std::set<std::string> ids;
+    std::uint64_t seen = 0;
+    for (int part = 0; part < 3; ++part) {
+        const RecordChanges changes = registry.changesSince(seen, kStart, 2);
+        EXPECT_EQ(changes.records.size(), part < 2 ? 2U : 1U);
+        for (const UpstreamRecord &record : changes.records)
+            ids.insert(record.id);
+        seen = changes.lastChange;
+    }
+    EXPECT_EQ(ids.size(), 5U);
+    EXPECT_EQ(seen, registry.change());
+    EXPECT_TRUE(registry.changesSince(seen, kStart, 2).records.empty());
+}
