Ignore a departure of an earlier incarnation of an upstream

A departure that waits unread, for instance in a suspended registry, ended the present incarnation of its id: the upstream got no request until its next start.

UpstreamRecords::markDeparted marked the record that stands, whatever start the departure named. It now compares the starts.

Evidence: UpstreamRecords.ALateDepartureDoesNotEndALaterIncarnation; by reading, the code before returns true and marks the record.

--- a/src/upstream_records.cpp
+++ b/src/upstream_records.cpp
@@ -68,6 +68,8 @@
                                                   .notice = AnnouncedState::gone });
         return true;
     }
+    if (found->second.startedAtMs > startedAtMs)
+        return false;
     const bool isChanged = found->second.notice != AnnouncedState::gone;
     found->second.notice = AnnouncedState::gone;
     return isChanged;
--- a/src/upstream_records.h
+++ b/src/upstream_records.h
@@ -22,8 +22,9 @@
     bool apply(const UpstreamRecord &record);
 
     /// Marks the current incarnation of an upstream as departed; true unless the incarnation was
-    /// marked before. If the upstream is unknown, the incarnation `startedAtMs` is stored as
-    /// departed, so that only announcements of later incarnations are accepted.
+    /// marked before or started after `startedAtMs`: the departure is then one of an earlier
+    /// incarnation that arrives late. If the upstream is unknown, the incarnation `startedAtMs` is
+    /// stored as departed, so that only announcements of later incarnations are accepted.
     bool markDeparted(const std::string &id, std::uint64_t startedAtMs);
 
     /// Removes the record of a departed upstream.
--- a/tests/upstream_records_test.cpp
+++ b/tests/upstream_records_test.cpp
@@ -48,6 +48,16 @@
     EXPECT_EQ(records.find("i")->notice, AnnouncedState::ready);
 }
 
+// Guards against a departure that arrives late and keeps out an upstream that started again.
+TEST(UpstreamRecords, ALateDepartureDoesNotEndALaterIncarnation)
+{
+    UpstreamRecords records;
+    records.apply(recordOf("i", 2, 1));
+    EXPECT_FALSE(records.markDeparted("i", 1));
+    EXPECT_EQ(records.find("i")->notice, AnnouncedState::ready);
+    EXPECT_TRUE(records.markDeparted("i", 2));
+}
+
 TEST(UpstreamRecords, AddressBelongsToTheLatestIncarnation)
 {
     UpstreamRecords records;
