Take no response without an id on a reused connection

A faulty engine that writes an earlier refusal once more on a kept connection, without the id of its request, refused the next request on that connection: the client was told "not run, try again", or the request went to a second engine, while the first one ran it (REFUSED, TWICE; reported by another operator of such a system).

Cause: a failure without an id was taken for the answer to the request in hand. With the echoed id of the earlier request it was skipped, before and now.

HttpPool now takes a response that names no request only for the first request of a connection, to which alone it can belong. On a reused connection, or after a late response, the call ends as broken: the request may have run. A refusal that comes before the next request's head closes the idle connection, as before. A success without an id is still another request's.

Evidence: HttpPoolTest.AResponseThatNamesNoRequestIsTakenOnlyOnAFreshConnection; on the code before, its second call ends as whole with status 503. The stager's calls name no request: a repeated answer there is caught by digests, by the read-back and by the engine's next report.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -108,6 +108,15 @@
     return status >= 200 && status < 300;
 }
 
+/// Tells whether an answer belongs to the request `id`. A success always names its request.
+ResponseMatch matchResponse(const AnswerMetadata &answer, const std::string &id, int status)
+{
+    if (answer.id == id)
+        return ResponseMatch::own;
+    return answer.id.empty() && !isSuccess(status) ? ResponseMatch::unidentified
+                                                   : ResponseMatch::other;
+}
+
 /// State of one client's request from arrival to answer.
 struct Exchange
 {
@@ -831,10 +840,10 @@
             .timeLimit = std::chrono::ceil<Milliseconds>(exchange->lifecycle.deadline() - now)
                          + kDiscardedAnswerGrace,
             .keepsConnection = selection.keepsConnection,
-            .matchesRequest =
+            .matchResponse =
                     [this, answer, id = exchange->metadata.id](const HttpHead &head) {
                         *answer = this->protocol.parseAnswerHead(head);
-                        return answer->id == id || (answer->id.empty() && !isSuccess(head.status));
+                        return matchResponse(*answer, id, head.status);
                     },
             .onHead =
                     [this, exchange, isCurrentAttempt, answer, sentAt = now,
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -155,6 +155,7 @@
         this->callId = newCallId;
         this->call = std::move(newCall);
         this->hasCall = true;
+        ++this->callCount;
         this->receivedBytes = 0;
         this->callDeadline.reset();
         if (this->call.timeLimit)
@@ -258,14 +259,21 @@
         }
     }
 
-    /// Passes the parsed head and body bytes to the callbacks. Returns false when a callback
-    /// cancelled the call.
+    /// Passes the parsed head and body bytes to the callbacks. Returns false when the call has
+    /// ended, because a callback cancelled it or the response may belong to another request.
     bool deliver()
     {
         const std::uint64_t callIdBefore = this->callId;
         if (this->reader.hasHead() && !std::exchange(this->headDelivered, true)) {
-            this->isMismatched =
-                    this->call.matchesRequest && !this->call.matchesRequest(this->reader.head());
+            const ResponseMatch match = this->call.matchResponse
+                                                ? this->call.matchResponse(this->reader.head())
+                                                : ResponseMatch::own;
+            const bool isOnlyRequest = this->callCount == 1 && !this->hasSkippedResponse;
+            if (match == ResponseMatch::unidentified && !isOnlyRequest) {
+                this->fail(CallOutcome::broken, "unidentified response");
+                return false;
+            }
+            this->isMismatched = match == ResponseMatch::other;
             if (!this->isMismatched && this->call.onHead) {
                 const auto callback = this->call.onHead;
                 callback(this->reader.head());
@@ -328,6 +336,7 @@
     std::array<char, kReadBytes> input{};
     bool isConnected{ false };
     bool hasCall{ false };
+    std::uint64_t callCount{ 0 }; ///< calls on this connection until now
     bool readInFlight{ false };
     bool requestWritten{ false };
     bool headDelivered{ false };
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -30,6 +30,16 @@
     bool isServerClose{ false };
 };
 
+/// Request to which a response belongs, as its head tells.
+enum class ResponseMatch : std::uint8_t {
+    own,   ///< the response to this request
+    other, ///< a late response to another request; the pool skips it
+    /// The response names no request. The pool takes it for the response to the first request of a
+    /// connection only; on a reused connection, a faulty server may have sent an earlier response
+    /// once more, and the call ends as `broken`.
+    unidentified,
+};
+
 /// One request to a server. Callbacks run on the thread of the pool's io_context and may
 /// start or cancel calls.
 struct OutboundCall
@@ -53,9 +63,8 @@
     /// Keep the connection for later calls after the response. False for servers whose connections
     /// are too few for all their callers.
     bool keepsConnection{ true };
-    /// Returns false when the head belongs to a late response to another request; the pool
-    /// skips that response. When empty, every response matches.
-    std::function<bool(const HttpHead &)> matchesRequest;
+    /// Tells to which request a response belongs. When empty, every response is the own one.
+    std::function<ResponseMatch(const HttpHead &)> matchResponse;
     std::function<void(const HttpHead &)> onHead;
     std::function<void(std::string &&)> onBody; ///< called with each part of the body
     std::function<void(const CallEnd &)> onEnd; ///< called once unless the call is cancelled
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -73,7 +73,7 @@
     }
 
     /// Sends a request to the server and waits for the end of the call. A response with the
-    /// header `Id: other` counts as a response to another request.
+    /// header `Id: other` counts as a response to another request, one with `Id: none` names none.
     CallRecord call(bool mayRunTwice = true) { return this->call({ .mayRunTwice = mayRunTwice }); }
 
     /// As above; `options` holds the limits of the call.
@@ -88,9 +88,12 @@
                     .mayRunTwice = options.mayRunTwice,
                     .timeLimit = options.timeLimit,
                     .maxResponseBytes = options.maxResponseBytes,
-                    .matchesRequest =
+                    .matchResponse =
                             [](const HttpHead &head) {
-                                return headerValue(head.headers, "Id") != "other";
+                                const std::string id = headerValue(head.headers, "Id");
+                                if (id == "none")
+                                    return ResponseMatch::unidentified;
+                                return id == "other" ? ResponseMatch::other : ResponseMatch::own;
                             },
                     .onHead = [record](const HttpHead &head) { record->status = head.status; },
                     .onBody = [record](std::string &&part) { record->body += part; },
@@ -177,6 +180,24 @@
     EXPECT_EQ(record.body, "ok");
 }
 
+// Guards against an earlier refusal that a faulty server sends once more, and that is taken for the
+// refusal of a request that the server runs.
+TEST_F(HttpPoolTest, AResponseThatNamesNoRequestIsTakenOnlyOnAFreshConnection)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nId: none\r\nContent-Length: 0\r\n\r\n";
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string late = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nxx";
+    this->serveScript({ { sound, refusal + sound }, { late + refusal + sound }, { refusal } });
+    EXPECT_EQ(this->call().end.outcome, CallOutcome::whole);
+    const CallRecord onReused = this->call();
+    EXPECT_EQ(onReused.end.outcome, CallOutcome::broken) << "the request may run";
+    EXPECT_EQ(onReused.status, 0);
+    EXPECT_EQ(this->call().end.outcome, CallOutcome::broken) << "other responses came before";
+    const CallRecord onFresh = this->call();
+    EXPECT_EQ(onFresh.end.outcome, CallOutcome::whole);
+    EXPECT_EQ(onFresh.status, 503);
+}
+
 TEST_F(HttpPoolTest, BytesAfterACompleteResponseCloseTheConnection)
 {
     this->serveScript({ { kResponse + "HTTP/1.1 200 OK\r\n" }, { kResponse } });
