Pass on only what continues a broken stream

Answers with a failure status were held back before, too.

EventStreamMerger calls these a fault of the attempt: once an event had an id, each needs one, comments aside, and a resumed attempt must go on with the next id where the ids rise in equal steps. An attempt that ends before a new event or a repetition of the last one proves nothing about the rest and counts as broken. The gateway also compares the media type with that of the first attempt, and takes a 200 of another type than a stream on a first attempt for a plain answer. A broken attempt is resumed elsewhere or ends the client's connection.

--- a/src/event_stream_merger.cpp
+++ b/src/event_stream_merger.cpp
@@ -45,10 +45,53 @@
     return std::nullopt;
 }
 
+/// True when every line of the event is a comment or empty.
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        const std::string_view line = event.substr(0, end);
+        if (!line.empty() && line != "\r" && line.front() != ':')
+            return false;
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return true;
+}
+
 } // namespace
 
+void EventStreamMerger::begin()
+{
+    this->partial = {};
+    this->searchedBytes = 0;
+    this->lastAttemptId.reset();
+    this->isAtPosition = !this->hasForwardedId;
+    this->isFaulty = false;
+}
+
+/// Learns the difference between the ids of successive events of one attempt.
+void EventStreamMerger::learnStep(std::uint64_t id)
+{
+    if (this->lastAttemptId && id > *this->lastAttemptId) {
+        const std::uint64_t step = id - *this->lastAttemptId;
+        this->hasRegularIds = this->hasRegularIds && this->idStep.value_or(step) == step;
+        this->idStep = step;
+    }
+    this->lastAttemptId = id;
+}
+
+/// True when events are missing between the last returned one and the event `id`, the first new one
+/// of a resumed attempt. Unknown unless the ids of the stream rise in equal steps.
+bool EventStreamMerger::isGap(std::uint64_t id) const
+{
+    return !this->isAtPosition && this->hasRegularIds && this->idStep
+           && id != *this->lastForwardedId + *this->idStep;
+}
+
 std::string EventStreamMerger::append(const std::string &bytes)
 {
+    if (this->isFaulty)
+        return "";
     this->partial += bytes;
     std::string completeEvents;
     std::string_view remaining = this->partial;
@@ -57,10 +100,24 @@
         const std::string_view event = remaining.substr(0, length);
         remaining.remove_prefix(length);
         const auto id = eventId(event);
-        if (id && this->lastForwardedId && *id <= *this->lastForwardedId)
+        if (!id && this->hasForwardedId && !isComment(event)) {
+            this->isFaulty = true;
+            break;
+        }
+        if (id && this->lastForwardedId && *id <= *this->lastForwardedId) {
+            this->isAtPosition = this->isAtPosition || *id == *this->lastForwardedId;
+            this->learnStep(*id);
             continue;
-        if (id)
+        }
+        if (id) {
+            if (this->isGap(*id)) {
+                this->isFaulty = true;
+                break;
+            }
+            this->learnStep(*id);
             this->lastForwardedId = id;
+            this->hasForwardedId = this->isAtPosition = true;
+        }
         completeEvents += event;
     }
     this->partial.erase(0, this->partial.size() - remaining.size());
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -88,6 +88,7 @@
 /// Time after a request's deadline at which a discarded answer is no longer read.
 constexpr Milliseconds kDiscardedAnswerGrace = 1s;
 constexpr int kMaxPriority = 9;
+constexpr const char *kEventStreamType = "text/event-stream";
 
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -117,6 +118,13 @@
                                                    : ResponseMatch::other;
 }
 
+/// Media type of an answer without its parameters; empty when the answer names none.
+std::string mediaTypeOf(const HttpHead &head)
+{
+    const std::string type = headerValue(head.headers, "Content-Type");
+    return type.substr(0, type.find_first_of("; "));
+}
+
 /// State of one client's request from arrival to answer.
 struct Exchange
 {
@@ -152,6 +160,7 @@
     // The answer to the client, which may combine the streams of several attempts.
     EventStreamMerger events;
     std::uint64_t answerVersion{ 0 }; ///< weights version of a streamed answer, 0 for none
+    std::string answerType;           ///< media type of a streamed answer, empty for none
     std::optional<TimePoint> firstByteAt;
     Milliseconds retryAfter{ kDefaultRetryAfter }; ///< sent when no upstream ran the request
 };
@@ -911,15 +920,27 @@
         const bool isOtherVersion = exchange->lifecycle.hasForwarded()
                                     && exchange->answerVersion != 0
                                     && exchange->answer.version != exchange->answerVersion;
-        exchange->isStreamed =
-                isUsable && exchange->route->kind == RequestKind::stream && !isOtherVersion;
+        const std::string type = mediaTypeOf(head);
+        const bool isOtherType = exchange->lifecycle.hasForwarded()
+                                         ? type != exchange->answerType
+                                         : !type.empty() && type != kEventStreamType;
+        exchange->isStreamed = isUsable && exchange->route->kind == RequestKind::stream
+                               && !isOtherVersion && !isOtherType;
         // A broken stream can be continued only by a stream from the same weights version.
-        if (exchange->lifecycle.hasForwarded() && isSuccess(head.status) && !exchange->isStreamed) {
-            this->upstreamCalls.cancel(exchange->callId);
-            this->selector.onEnded(exchange->upstream, false, bootNow());
-            this->applyDecision(exchange,
-                                exchange->lifecycle.onAttemptBroken("other-weights", bootNow()));
-        }
+        if (exchange->lifecycle.hasForwarded() && isSuccess(head.status) && !exchange->isStreamed)
+            this->breakOffAttempt(exchange, isOtherVersion ? "other-weights" : "no-stream");
+    }
+
+    /// Ends an attempt whose answer can't be used.
+    void breakOffAttempt(const ExchangePtr &exchange, const std::string &reason)
+    {
+        const TimePoint now = bootNow();
+        logInfo("answer can't be used", { { "request", exchange->metadata.id },
+                                          { "upstream", exchange->upstream },
+                                          { "reason", reason } });
+        this->upstreamCalls.cancel(std::exchange(exchange->callId, 0));
+        this->selector.onEnded(exchange->upstream, false, now);
+        this->applyDecision(exchange, exchange->lifecycle.onAttemptBroken(reason, now));
     }
 
     /// An attempt whose answer says something of the upstream.
@@ -1005,8 +1026,16 @@
                 exchange, exchange->body.size() + exchange->events.partialBytes());
         if (excessive)
             this->dropAnswer(*excessive);
-        if (events.empty() || excessive == exchange)
+        if (excessive == exchange)
             return;
+        if (!events.empty())
+            this->forwardEvents(exchange, events);
+        if (!exchange->lifecycle.isOver() && exchange->isStreamed && exchange->events.hasFault())
+            this->breakOffAttempt(exchange, "stream-fault");
+    }
+
+    void forwardEvents(const ExchangePtr &exchange, const std::string &events)
+    {
         if (!exchange->lifecycle.hasResponseBegun())
             this->onAnswerBegun(*exchange);
         this->startStream(*exchange);
@@ -1046,6 +1075,7 @@
         if (isHeadSent)
             return;
         exchange.answerVersion = exchange.answer.version;
+        exchange.answerType = mediaTypeOf(exchange.head);
         exchange.firstByteAt = bootNow();
         exchange.reply->start(exchange.head.status, "", forwardedHeaders(exchange.head));
     }
@@ -1123,7 +1153,9 @@
         if (!isSuccess(status))
             return this->onFailure(exchange, now);
         const bool isInvalid = !exchange->answer.hasServerStamp || exchange->answer.isEncoded
-                               || (exchange->isStreamed && exchange->events.partialBytes() > 0);
+                               || (exchange->isStreamed
+                                   && (exchange->events.partialBytes() > 0
+                                       || !exchange->events.hasReachedPosition()));
         this->selector.onEnded(exchange->upstream, isInvalid, now);
         if (isInvalid)
             return this->applyDecision(exchange,
--- a/tests/event_stream_merger_test.cpp
+++ b/tests/event_stream_merger_test.cpp
@@ -51,6 +51,59 @@
     EXPECT_EQ(events.lastEventId(), 4U);
 }
 
+// Guards against the text or the head of an error, or other text, in the middle of a stream.
+TEST(EventStreamMerger, TextThatIsNoEventOfTheStreamIsAFault)
+{
+    for (const char *text : { "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\n",
+                              "data: {\"error\":\"broken\"}\n\n", "internal error\n\n" }) {
+        EventStreamMerger events;
+        events.append(eventOf(1) + eventOf(2));
+        events.begin();
+        EXPECT_EQ(events.append(text + eventOf(3)), "") << text;
+        EXPECT_TRUE(events.hasFault()) << text;
+        events.begin();
+        EXPECT_EQ(events.append(": hello\n\n" + eventOf(3)), ": hello\n\n" + eventOf(3));
+        EXPECT_FALSE(events.hasFault());
+    }
+}
+
+// Guards against a stream with missing events when the next upstream goes on at another event.
+TEST(EventStreamMerger, AResumedStreamThatSkipsEventsIsAFault)
+{
+    for (const std::uint64_t step : { 1U, 5U }) {
+        EventStreamMerger events;
+        events.append(eventOf(step) + eventOf(2 * step));
+        events.begin();
+        EXPECT_EQ(events.append(eventOf(4 * step)), "");
+        EXPECT_TRUE(events.hasFault());
+        events.begin();
+        EXPECT_EQ(events.append(eventOf(3 * step)), eventOf(3 * step));
+        EXPECT_FALSE(events.hasFault());
+    }
+    EventStreamMerger irregular;
+    irregular.append(eventOf(1) + eventOf(3) + eventOf(4));
+    irregular.begin();
+    EXPECT_EQ(irregular.append(eventOf(9)), eventOf(9)) << "the next id can't be known";
+}
+
+// Guards against a resumed stream that ends at once and is passed on as complete.
+TEST(EventStreamMerger, AResumedStreamReachesThePositionWithANewEventOrTheLastOne)
+{
+    EventStreamMerger events;
+    events.begin();
+    EXPECT_TRUE(events.hasReachedPosition()) << "a first attempt may be empty";
+    events.append(eventOf(1) + eventOf(2));
+    events.begin();
+    EXPECT_FALSE(events.hasReachedPosition());
+    events.append(eventOf(1));
+    EXPECT_FALSE(events.hasReachedPosition());
+    events.append(eventOf(2));
+    EXPECT_TRUE(events.hasReachedPosition());
+    events.begin();
+    events.append(eventOf(3));
+    EXPECT_TRUE(events.hasReachedPosition());
+}
+
 /// When attempts break at any byte and the next attempt resumes after the last complete event,
 /// the client gets each event once.
 TEST(EventStreamMerger, FuzzedBreaksLoseAndRepeatNoEvent)
