Bound the log in bytes, and pause on a full disk

Cause: compaction kept the last 1,000 entries whatever their size, and each holds a whole document; the new log file was written beside the old one, so that half of the disk was the limit; a write error ended the process, and the restarted one compacted at once.

Compaction keeps at most 4 MiB of committed entries. QuorumLog returns from a write on a full disk with the log as it was, and overwrites what was cut off. A member whose disk is full executes no action: the others see it as silent and elect a leader with room. It tries again every 100 ms and can be stopped; reads that were found current before the pause are not answered as current. A compaction that finds no room for the second file is left out, since the old file holds the same state, and tried again after 5 s. A failed sync still ends the process.

--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -3,7 +3,6 @@
 #include "clock.h"
 #include "digest.h"
 #include "log.h"
-#include "quorum_log.h"
 
 #include <nlohmann/json.hpp>
 #include <sodium.h>
@@ -21,6 +20,9 @@
 // was appended to the log.
 constexpr std::uint64_t kSnapshotEntries = 4000;
 constexpr std::uint64_t kSnapshotLogBytes = 8U << 20U;
+/// Time after which a write or a compaction that found the disk full is tried again.
+constexpr Milliseconds kFullDiskRetryPeriod = 100ms;
+constexpr Milliseconds kCompactionRetryPeriod = 5s;
 /// Reason of a refusal by an instance that does not lead.
 constexpr const char *kNotLeader = "not-leader";
 
@@ -83,7 +85,7 @@
 public:
     Impl(ControlNodeOptions options, ControlNodeHandlers handlers)
         : options(std::move(options)), handlers(std::move(handlers)),
-          log(this->options.dataFolder, this->options.endpoint)
+          log(this->options.dataFolder, this->options.endpoint, this->options.logWrite)
     {}
 
     ~Impl() { this->stop(); }
@@ -322,21 +324,17 @@
     void perform()
     {
         const std::vector<QuorumAction> actions = this->quorum->takeActions();
-        bool mustRewrite = false;
-        bool mustSync = false;
-        for (const QuorumAction &action : actions)
-            mustRewrite = mustRewrite || std::holds_alternative<RewriteLog>(action);
-        if (mustRewrite)
-            this->log.rewrite(this->quorum->persistentState());
-        for (const QuorumAction &action : actions) {
-            const auto *append = std::get_if<AppendRecords>(&action);
-            if (append == nullptr || mustRewrite)
-                continue;
-            this->log.append(append->records);
-            mustSync = mustSync || append->sync;
+        bool hasWaited = false;
+        while (!this->writeLog(actions)) {
+            if (!std::exchange(hasWaited, true))
+                logError("disk is full; the control quorum's member pauses",
+                         { { "path", this->options.dataFolder } });
+            if (!this->waitForRoom())
+                return;
         }
-        if (mustSync)
-            this->log.sync();
+        if (hasWaited)
+            logInfo("disk has room again", { { "path", this->options.dataFolder } });
+        this->mayAnswerReads = !hasWaited;
         this->hasStateChanged = false;
         for (const QuorumAction &action : actions)
             std::visit([this](const auto &body) { this->execute(body); }, action);
@@ -344,6 +342,47 @@
             this->handlers.applied();
     }
 
+    /// Writes the records of the actions to the log and syncs them; false when the disk is full.
+    /// Until they are written, no action is executed: to the other members this one is silent.
+    bool writeLog(const std::vector<QuorumAction> &actions)
+    {
+        bool mustRewrite = false;
+        bool isOptional = true;
+        for (const QuorumAction &action : actions) {
+            if (const auto *rewrite = std::get_if<RewriteLog>(&action)) {
+                mustRewrite = true;
+                isOptional = isOptional && rewrite->isOptional;
+            }
+        }
+        if (mustRewrite && this->log.rewrite(this->quorum->persistentState()))
+            return true;
+        if (mustRewrite && !isOptional)
+            return false;
+        if (mustRewrite)
+            this->compactionRetryAt = bootNow() + kCompactionRetryPeriod;
+        std::vector<QuorumRecord> records;
+        bool mustSync = false;
+        for (const QuorumAction &action : actions) {
+            if (const auto *append = std::get_if<AppendRecords>(&action)) {
+                records.insert(records.end(), append->records.begin(), append->records.end());
+                mustSync = mustSync || append->sync;
+            }
+        }
+        if (!records.empty() && !this->log.append(records))
+            return false;
+        if (mustSync)
+            this->log.sync();
+        return true;
+    }
+
+    /// Waits for a short time; false when this instance stops.
+    bool waitForRoom()
+    {
+        std::unique_lock lock(this->inboxMutex);
+        return !this->inboxFilled.wait_for(lock, kFullDiskRetryPeriod,
+                                           [this] { return this->inbox.isStopping; });
+    }
+
     void execute(const AppendRecords &) {}
     void execute(const RewriteLog &) {}
 
@@ -398,7 +437,7 @@
             return;
         const PendingQuery query = std::move(found->second);
         this->queries.erase(found);
-        if (!answer.isCurrent)
+        if (!answer.isCurrent || !this->mayAnswerReads)
             return query.done(this->notLeaderResult());
         if (std::holds_alternative<ReadMembers>(query.command))
             return query.done(this->describeMembers());
@@ -476,7 +515,7 @@
         const std::uint64_t newEntries =
                 this->quorum->commitIndex() - this->quorum->persistentState().snapshot.index;
         const bool isLogLarge = this->log.appendedBytes() > kSnapshotLogBytes && newEntries > 0;
-        if (newEntries < kSnapshotEntries && !isLogLarge)
+        if ((newEntries < kSnapshotEntries && !isLogLarge) || bootNow() < this->compactionRetryAt)
             return;
         this->quorum->compact(this->shared.with([](const PublishedState &published) {
             return encode(published.state.snapshot());
@@ -493,6 +532,9 @@
     std::map<std::uint64_t, PendingQuery> queries;    ///< by read id
     std::uint64_t lastQueryId{ 0 };
     bool hasStateChanged{ false };
+    /// False for reads that were found current before this member waited for the disk.
+    bool mayAnswerReads{ true };
+    TimePoint compactionRetryAt;
 
     std::mutex inboxMutex;
     std::condition_variable inboxFilled;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -3,6 +3,7 @@
 #include "control_state.h"
 #include "guarded.h"
 #include "quorum.h"
+#include "quorum_log.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,7 @@
     std::size_t targetVoters{ 0 };
     /// Time from the start of an instance until another one may be lost.
     Milliseconds catchUpTime{ 4s };
+    WriteCall logWrite; ///< writes the log file; empty for write(2)
 };
 
 /// How an instance takes part in the control quorum.
--- a/src/quorum.cpp
+++ b/src/quorum.cpp
@@ -131,13 +131,20 @@
     this->membershipsByIndex.erase(this->membershipsByIndex.begin(), after);
     this->membershipsByIndex[snapshot.index] = snapshot.members;
     this->persistent.snapshot = std::move(snapshot);
+    std::size_t committedBytes = 0;
+    for (const QuorumEntry &entry : this->persistent.entries)
+        committedBytes += entry.index <= this->commit ? entry.payload.size() : 0;
     while (!this->persistent.entries.empty()
-           && this->persistent.entries.front().index + this->options.trailingEntries
-                      <= this->commit)
+           && this->persistent.entries.front().index <= this->commit
+           && (this->persistent.entries.front().index + this->options.trailingEntries
+                       <= this->commit
+               || committedBytes > this->options.trailingBytes)) {
+        committedBytes -= this->persistent.entries.front().payload.size();
         this->persistent.entries.pop_front();
+    }
     for (auto &[folder, follower] : this->progress)
         follower.snapshotOffset = 0;
-    this->actions.emplace_back(RewriteLog{});
+    this->actions.emplace_back(RewriteLog{ .isOptional = true });
 }
 
 std::vector<QuorumAction> Quorum::takeActions()
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -44,8 +44,10 @@
     unsigned maxClockDriftPercent{ 10 }; ///< bound on the rate difference of two monotonic clocks
     /// Bound on the size of the entries in one AppendRequest. A larger entry is sent alone.
     std::size_t maxBatchBytes{ 256U << 10U };
-    /// Number of committed entries that compaction keeps for slow followers.
+    /// Bounds on the number and the size of the committed entries that compaction keeps for slow
+    /// followers.
     std::size_t trailingEntries{ 1000 };
+    std::size_t trailingBytes{ 4U << 20U };
 };
 
 /// A snapshot of the replicated state, and the term and index of the last entry that the
@@ -85,6 +87,9 @@
 /// must be on disk before any later action is executed.
 struct RewriteLog
 {
+    /// The log file without the replacement holds the same state, in more bytes. The action may
+    /// then be left out, for instance when the disk has no room for a second file.
+    bool isOptional{ false };
 };
 
 /// Sends a message to the instance at `endpoint`.
@@ -169,8 +174,8 @@
     void leave() { this->isLeaving = true; }
 
     /// Takes a snapshot at the commit index, and drops the log entries that the snapshot
-    /// includes, except the last `trailingEntries`. `state` is the encoded replicated state at
-    /// the commit index.
+    /// includes, except the last `trailingEntries` of at most `trailingBytes`. `state` is the
+    /// encoded replicated state at the commit index.
     void compact(std::string state);
 
     /// Returns the actions since the last call.
--- a/src/quorum_log.cpp
+++ b/src/quorum_log.cpp
@@ -122,16 +122,6 @@
     std::abort();
 }
 
-void writeAll(int file, const std::string &path, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        const ssize_t written = write(file, bytes.data(), bytes.size());
-        if (written <= 0)
-            abortProcess(path, "write");
-        bytes.remove_prefix(static_cast<std::size_t>(written));
-    }
-}
-
 void syncFolder(const std::string &folder)
 {
     const int handle = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -142,8 +132,9 @@
 
 } // namespace
 
-QuorumLog::QuorumLog(std::string folder, std::string endpoint)
-    : folder(std::move(folder)), endpoint(std::move(endpoint)), path(this->folder + "/control.log")
+QuorumLog::QuorumLog(std::string folder, std::string endpoint, WriteCall write)
+    : folder(std::move(folder)), endpoint(std::move(endpoint)), path(this->folder + "/control.log"),
+      write(write ? std::move(write) : ::write)
 {}
 
 QuorumLog::~QuorumLog()
@@ -167,7 +158,8 @@
         randombytes_buf(&state.folder, sizeof(state.folder));
         state.folder = state.folder / 2 + 1;
         this->wasCreated = true;
-        this->rewrite(state);
+        if (!this->rewrite(state))
+            return fail(reason, QuorumLogError::ioError, this->folder + " is on a full disk");
         syncFolder(std::filesystem::path(this->folder).parent_path().string());
         return state;
     }
@@ -180,7 +172,7 @@
     auto state = this->replay(*content, intactBytes, reason);
     if (!state)
         return std::nullopt;
-    this->file = ::open(this->path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    this->file = ::open(this->path.c_str(), O_WRONLY | O_CLOEXEC);
     if (this->file < 0)
         return fail(reason, QuorumLogError::ioError, this->path + " can't be opened");
     if (intactBytes < content->size()) {
@@ -265,22 +257,43 @@
     return false;
 }
 
-void QuorumLog::append(const std::vector<QuorumRecord> &records)
+/// Writes all bytes from `offset` on; false when the disk is full. Bytes that were written before
+/// the disk was full are overwritten by the next call, and look like a torn tail until then.
+bool QuorumLog::writeAt(int target, const std::string &targetPath, std::uint64_t offset,
+                        std::string_view bytes) const
+{
+    if (lseek(target, static_cast<off_t>(offset), SEEK_SET) < 0)
+        abortProcess(targetPath, "lseek");
+    while (!bytes.empty()) {
+        const ssize_t written = this->write(target, bytes.data(), bytes.size());
+        if (written < 0 && (errno == ENOSPC || errno == EDQUOT))
+            return false;
+        if (written <= 0)
+            abortProcess(targetPath, "write");
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+bool QuorumLog::append(const std::vector<QuorumRecord> &records)
 {
     std::string bytes;
     for (const QuorumRecord &record : records)
         bytes += frameRecord(record);
-    writeAll(this->file, this->path, bytes);
+    if (!this->writeAt(this->file, this->path, this->fileBytes, bytes))
+        return false;
     this->bytesSinceRewrite += bytes.size();
     this->fileBytes += bytes.size();
+    return true;
 }
 
 void QuorumLog::sync()
 {
     this->syncFile();
     // After a restart, the sync point shows that a damaged record in the synced bytes is a disk
-    // error and not a torn write.
-    this->append({ QuorumSyncPoint{ .bytes = this->fileBytes } });
+    // error and not a torn write. On a full disk, it is left out.
+    if (!this->append({ QuorumSyncPoint{ .bytes = this->fileBytes } }))
+        logWarn("disk is full", { { "path", this->path } });
 }
 
 void QuorumLog::syncFile()
@@ -289,7 +302,7 @@
         abortProcess(this->path, "fdatasync");
 }
 
-void QuorumLog::rewrite(const QuorumPersistentState &state)
+bool QuorumLog::rewrite(const QuorumPersistentState &state)
 {
     // Step 1. Write the whole state to a new file.
     std::string bytes =
@@ -311,11 +324,17 @@
     for (const QuorumEntry &entry : state.entries)
         bytes += frameRecord(entry);
     const std::string newPath = this->path + ".new";
-    const int newFile =
-            ::open(newPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
-    if (newFile < 0)
+    const int newFile = ::open(newPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    const bool isOpenRefused = newFile < 0 && (errno == ENOSPC || errno == EDQUOT);
+    if (newFile < 0 && !isOpenRefused)
         abortProcess(newPath, "open");
-    writeAll(newFile, newPath, bytes);
+    if (isOpenRefused || !this->writeAt(newFile, newPath, 0, bytes)) {
+        logWarn("disk is full", { { "path", newPath }, { "bytes", bytes.size() } });
+        if (newFile >= 0)
+            close(newFile);
+        unlink(newPath.c_str());
+        return false;
+    }
     // Step 2. Sync the new file before the rename and the folder after the rename.
     if (fsync(newFile) != 0)
         abortProcess(newPath, "fsync");
@@ -327,6 +346,7 @@
     this->file = newFile;
     this->bytesSinceRewrite = 0;
     this->fileBytes = bytes.size();
+    return true;
 }
 
 } // namespace egret
--- a/src/quorum_log.h
+++ b/src/quorum_log.h
@@ -2,6 +2,7 @@
 
 #include "quorum.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,9 @@
     corrupt,       ///< a synced record is damaged or the identity record is missing
 };
 
+/// Writes bytes to a file like write(2); tests replace it.
+using WriteCall = std::function<ssize_t(int file, const void *bytes, std::size_t size)>;
+
 /// Log file of a quorum member in the member's data folder: a single file of checksummed
 /// records. The log is shortened by writing a new file and renaming it to the log file. Not
 /// thread safe.
@@ -24,7 +28,7 @@
 public:
     /// `folder` is the path of the data folder, and `endpoint` the link address of this instance.
     /// A data folder can be used only with the link address with which it was created.
-    QuorumLog(std::string folder, std::string endpoint);
+    QuorumLog(std::string folder, std::string endpoint, WriteCall write = {});
     ~QuorumLog();
     QuorumLog(const QuorumLog &) = delete;
     QuorumLog &operator=(const QuorumLog &) = delete;
@@ -38,17 +42,19 @@
     /// True when `open` created the log.
     bool isFresh() const { return this->wasCreated; }
 
-    /// Appends records, which are durable only after `sync`. Aborts the process on a write
-    /// error.
-    void append(const std::vector<QuorumRecord> &records);
+    /// Appends records, which are durable only after `sync`. Returns false, with the log as it was,
+    /// when the disk is full: the caller may append again later. Aborts the process on any other
+    /// write error.
+    [[nodiscard]] bool append(const std::vector<QuorumRecord> &records);
 
     /// Returns when all appended records are on disk. Aborts the process on an error, because
     /// the content of the file on disk is unknown after a failed sync.
     void sync();
 
     /// Replaces the file by a new file that contains `state`. The new file is on disk when
-    /// the method returns. Aborts the process on an error.
-    void rewrite(const QuorumPersistentState &state);
+    /// the method returns. Returns false, with the log as it was, when the disk is full. Aborts the
+    /// process on any other error.
+    [[nodiscard]] bool rewrite(const QuorumPersistentState &state);
 
     /// Bytes appended since the last `rewrite`. Before the first `rewrite` of an existing log, the
     /// size of the file.
@@ -61,12 +67,15 @@
     std::optional<QuorumPersistentState> replay(const std::string &content,
                                                 std::size_t &intactBytes,
                                                 Reason<QuorumLogError> &reason) const;
+    bool writeAt(int target, const std::string &targetPath, std::uint64_t offset,
+                 std::string_view bytes) const;
     void syncFile();
     static bool wasSynced(const std::string &content, std::size_t offset);
 
     std::string folder;
     std::string endpoint;
     std::string path;
+    WriteCall write;
     int lockFile{ -1 }; ///< file descriptor, -1 while closed
     int file{ -1 };     ///< file descriptor of the log file, -1 while closed
     bool wasCreated{ false };
--- a/tests/quorum_log_test.cpp
+++ b/tests/quorum_log_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <fstream>
 
@@ -36,9 +38,10 @@
         QuorumLog log(this->folder, kEndpoint);
         Reason<QuorumLogError> reason;
         ASSERT_TRUE(log.open(reason));
-        log.append({ QuorumVote{ .cluster = 9, .term = 3, .votedFor = 4 } });
+        ASSERT_TRUE(log.append({ QuorumVote{ .cluster = 9, .term = 3, .votedFor = 4 } }));
         for (std::uint64_t index = 1; index <= entries; ++index)
-            log.append({ QuorumEntry{ .term = 3, .index = index, .payload = "command" } });
+            ASSERT_TRUE(
+                    log.append({ QuorumEntry{ .term = 3, .index = index, .payload = "command" } }));
         log.sync();
     }
 
@@ -73,7 +76,7 @@
         QuorumLog log(this->folder, kEndpoint);
         Reason<QuorumLogError> reason;
         ASSERT_TRUE(log.open(reason));
-        log.append({ QuorumEntry{ .term = 3, .index = 2, .payload = "command" } });
+        ASSERT_TRUE(log.append({ QuorumEntry{ .term = 3, .index = 2, .payload = "command" } }));
     }
     const std::string extendedContent = *readFile(this->logPath());
     constexpr std::size_t step = 7;
@@ -112,8 +115,8 @@
         QuorumLog log(this->folder, kEndpoint);
         Reason<QuorumLogError> reason;
         ASSERT_TRUE(log.open(reason));
-        log.append({ QuorumEntry{ .term = 3, .index = 4, .payload = "command" } });
-        log.append({ QuorumEntry{ .term = 3, .index = 5, .payload = "command" } });
+        ASSERT_TRUE(log.append({ QuorumEntry{ .term = 3, .index = 4, .payload = "command" } }));
+        ASSERT_TRUE(log.append({ QuorumEntry{ .term = 3, .index = 5, .payload = "command" } }));
     }
     // The first of two unsynced writes is missing, and the second write is intact.
     this->overwrite(syncedBytes + 3, std::string(30, '\0'));
@@ -147,8 +150,9 @@
         persisted.snapshot.index = 7;
         persisted.snapshot.state = std::make_shared<const std::string>(std::string(3U << 20U, 's'));
         persisted.entries.push_back({ .term = 2, .index = 8, .payload = "after" });
-        log.rewrite(persisted);
-        log.append({ QuorumTruncate{ .from = 8 }, QuorumEntry{ .term = 3, .index = 8 } });
+        ASSERT_TRUE(log.rewrite(persisted));
+        ASSERT_TRUE(
+                log.append({ QuorumTruncate{ .from = 8 }, QuorumEntry{ .term = 3, .index = 8 } }));
         log.sync();
     }
     // A crash before the rename leaves a partial file, which must be ignored.
@@ -162,3 +166,44 @@
     ASSERT_EQ(reopened->entries.size(), 1U);
     EXPECT_EQ(reopened->entries.front().term, 3U);
 }
+
+// Guards against records behind torn ones: what a full disk cut off is overwritten.
+TEST_F(QuorumLogTest, ARecordCutOffByAFullDiskIsWrittenAgain)
+{
+    bool isFull = false;
+    const auto write = [&isFull](int file, const void *bytes, std::size_t size) -> ssize_t {
+        if (!isFull)
+            return ::write(file, bytes, size);
+        if (size > 10)
+            return ::write(file, bytes, size / 2);
+        errno = ENOSPC;
+        return -1;
+    };
+    Reason<QuorumLogError> reason;
+    {
+        QuorumLog log(this->folder, kEndpoint, write);
+        auto state = log.open(reason);
+        ASSERT_TRUE(state);
+        ASSERT_TRUE(log.append({ QuorumEntry{ .term = 3, .index = 1, .payload = "one" } }));
+        isFull = true;
+        EXPECT_FALSE(log.append({ QuorumEntry{ .term = 3, .index = 2, .payload = "two" } }));
+        EXPECT_FALSE(log.rewrite(*state));
+        EXPECT_EQ(log.appendedBytes() > 0, true) << "the log is as it was";
+        EXPECT_FALSE(std::filesystem::exists(this->logPath() + ".new"));
+    }
+    EXPECT_EQ(this->reopen(reason)->entries.size(), 1U) << "the torn record is dropped";
+    isFull = false;
+    {
+        QuorumLog log(this->folder, kEndpoint, write);
+        ASSERT_TRUE(log.open(reason));
+        isFull = true;
+        EXPECT_FALSE(log.append({ QuorumEntry{ .term = 3, .index = 2, .payload = "two" } }));
+        isFull = false;
+        ASSERT_TRUE(log.append({ QuorumEntry{ .term = 3, .index = 2, .payload = "2" } }));
+        log.sync();
+    }
+    const auto restored = this->reopen(reason);
+    ASSERT_TRUE(restored) << reason.detail;
+    ASSERT_EQ(restored->entries.size(), 2U);
+    EXPECT_EQ(restored->entries.back().payload, "2");
+}
--- a/tests/quorum_test.cpp
+++ b/tests/quorum_test.cpp
@@ -292,6 +292,27 @@
     std::unique_ptr<Quorum> quorum;
 };
 
+// Guards against a log whose size is bounded by the number of its entries only.
+TEST(Quorum, CompactionKeepsFewBytesOfCommittedEntries)
+{
+    QuorumPersistentState persistent{ .folder = 1, .cluster = 9, .term = 1 };
+    persistent.snapshot.index = 1;
+    persistent.snapshot.term = 1;
+    persistent.snapshot.members.members = { { .folder = 1, .endpoint = "a", .voter = true } };
+    TimePoint now = TimePoint{} + 100s;
+    Quorum quorum(QuorumOptions{ .endpoint = "a", .trailingBytes = 1000 }, persistent, true, 1,
+                  now);
+    now += 5s;
+    quorum.tick(now);
+    ASSERT_TRUE(quorum.leadingTerm(now));
+    for (int i = 0; i < 50; ++i)
+        ASSERT_TRUE(quorum.propose(now, { std::string(300, 'x') }));
+    quorum.compact("state");
+    EXPECT_EQ(quorum.persistentState().entries.size(), 3U);
+    EXPECT_EQ(quorum.lastIndex(), quorum.commitIndex());
+    EXPECT_TRUE(quorum.propose(now, { "next" }));
+}
+
 TEST(Quorum, AnEntryOfAnEarlierTermIsCommittedOnlyWithAnEntryOfTheCurrentTerm)
 {
     SingleMember member({ { .term = 1, .index = 2, .payload = "earlier" } }, 1);
