Refuse at the door what does not fit downstream

A configuration beyond 2 MiB was accepted by the operators' API, which took 8 MiB, and could not be replicated: frames, log records and views hold at most 2 MiB.

The state holds at most 256 named texts and as many zones that were changed.

--- a/src/codec.h
+++ b/src/codec.h
@@ -38,7 +38,7 @@
 };
 
 /// Limit on each length on the wire: the bytes of a text or a frame, and the elements of a list.
-inline constexpr std::uint32_t kMaxWireLength = 2U << 20U;
+inline constexpr std::uint32_t kMaxWireLength = 4U << 20U;
 
 /// Serializes values in cereal's portable binary format. Not thread safe.
 class WireWriter
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -213,6 +213,8 @@
 {
     auto &texts = this->currentOperatorState.texts;
     auto current = std::ranges::find(texts, command.text.name, &NumberedText::name);
+    if (current == texts.end() && texts.size() >= kMaxNames)
+        return refusal("too-many-texts");
     if (current == texts.end()) {
         texts.push_back(command.text);
         current = std::prev(texts.end());
@@ -243,6 +245,8 @@
         const auto changed = this->zoneChangeIndexes.find(command.zone);
         if (changed != this->zoneChangeIndexes.end() && changed->second > command.knownIndex)
             return refusal(kOutdatedOrder);
+        if (changed == this->zoneChangeIndexes.end() && this->zoneChangeIndexes.size() >= kMaxNames)
+            return refusal("too-many-zones");
         this->changeZone(position, command.zone, command.isOut);
     }
     return ControlResult{ .accepted = true, .fence = fenceAt(position) };
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -29,6 +29,10 @@
 /// Bound on the number of records in the audit log.
 inline constexpr std::size_t kMaxAuditRecords = 16384;
 
+/// Bound on the names of numbered texts and of availability zones whose service was changed, as the
+/// state must fit into memory, snapshots and views.
+inline constexpr std::size_t kMaxNames = 256;
+
 /// State replicated by the control quorum: documents by environment and stage, numbered
 /// texts, zones taken out of service, operators, the audit log and claims on idempotency
 /// keys. A document is the configuration of one environment; its stage is trial or production, and
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -48,7 +48,7 @@
 constexpr Milliseconds kLeaveTimeout = 1s;
 /// Bound on the records in a view or in a message to another registry. Records are small, so the
 /// message stays far below the limit of a frame, and the reader pulls the rest.
-constexpr std::size_t kMaxRecordsPerMessage = 1000;
+constexpr std::size_t kMaxRecordsPerMessage = 500;
 /// A leader grants permits only for this time after a majority confirmed its state. A leader that
 /// was cut off stops to grant before its successor begins.
 constexpr Milliseconds kPermitLeaseTime = 600ms;
--- a/src/registry_node.h
+++ b/src/registry_node.h
@@ -23,6 +23,10 @@
 inline constexpr const char *kDocumentText = "document";
 inline constexpr const char *kWeightsTextPrefix = "weights/";
 
+/// Bound on the size of the document. A document that is accepted fits into an entry of the quorum
+/// log and, beside the changed upstreams, into a view.
+inline constexpr std::size_t kMaxDocumentBytes = 2U << 20U;
+
 /// A registry process: a member of the control quorum. It replicates the operators' commands,
 /// collects upstreams' announcements and sends views to gateways and stagers. A view contains
 /// the operators' state and the upstreams that changed since the receiver's last view. Call
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -1,5 +1,9 @@
 #include "control_state.h"
 
+#include "frame.h"
+#include "registry_node.h"
+#include "upstream_check.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -188,3 +192,47 @@
     EXPECT_EQ(snapshot->operatorState, state.operatorState());
     EXPECT_FALSE(decodeSnapshot(bytes.substr(0, bytes.size() - 1)));
 }
+
+// Guards against a document that is accepted and then fits neither into the log nor into a view.
+TEST(ControlState, TheLargestDocumentFitsIntoEveryMessageAndRecord)
+{
+    const NumberedText document{ .name = kDocumentText,
+                                 .number = 1,
+                                 .text = std::string(kMaxDocumentBytes, 'x') };
+    const QuorumEntry entry{ .payload = encode(TimedCommand{
+                                     .command = PutNumberedText{ .text = document } }) };
+    EXPECT_TRUE(decode<QuorumEntry>(encode(entry)));
+    EXPECT_LT(encode(AppendRequest{ .entries = { entry } }).size(), kMaxFrameBytes);
+    View view{ .state = { .texts = { document } } };
+    const std::string name(kMaxAnnouncedName, 'n');
+    constexpr std::size_t recordsInView = 500;
+    for (std::size_t i = 0; i < recordsInView; ++i)
+        view.upstreams.push_back(
+                { .id = name, .service = name, .endpoint = name, .zone = name, .model = name });
+    EXPECT_LT(encode(view).size(), kMaxFrameBytes);
+}
+
+// Guards against a state that grows without bound with the names of texts and zones.
+TEST(ControlState, TooManyNamesAreRefused)
+{
+    ControlState state;
+    std::uint64_t index = 0;
+    for (std::size_t i = 0; i < kMaxNames; ++i) {
+        const std::string name = "n" + std::to_string(i);
+        EXPECT_TRUE(state.apply({ .term = 1, .index = ++index },
+                                PutNumberedText{ .text = { .name = name, .number = 1 } })
+                            .accepted);
+        EXPECT_TRUE(state.apply({ .term = 1, .index = ++index },
+                                ChangeZoneService{ .zone = name, .isOut = true })
+                            .accepted);
+    }
+    EXPECT_FALSE(state.apply({ .term = 1, .index = ++index },
+                             PutNumberedText{ .text = { .name = "x", .number = 1 } })
+                         .accepted);
+    EXPECT_FALSE(state.apply({ .term = 1, .index = ++index },
+                             ChangeZoneService{ .zone = "x", .isOut = true })
+                         .accepted);
+    EXPECT_TRUE(state.apply({ .term = 1, .index = ++index },
+                            PutNumberedText{ .text = { .name = "n0", .number = 2 } })
+                        .accepted);
+}
