--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -166,7 +166,7 @@
     std::string announce(const UpstreamRecord &record)
     {
         ++this->announcementCount;
-        const std::string error = this->announcementProblem(record);
+        std::string error = this->announcementProblem(record);
         if (!error.empty())
             return error;
         if (this->registry.onAnnouncement(record, bootNow())) {
@@ -619,7 +619,7 @@
 
     std::string announcementProblem(const UpstreamRecord &record) const
     {
-        const std::string error = announcementError(record, this->settings.regions, wallTime());
+        std::string error = announcementError(record, this->settings.regions, wallTime());
         if (!error.empty())
             return error;
         return this->registry.hasRoomFor(record.id) ? "" : "too many upstreams";
