Test what a gateway passes on when a broken stream is resumed

A stand-in engine can break off its streams and answer a resumption with a failure, another type, nothing, a later event, the head of an answer or plain text. The client gets the first events and then, but for a sound answer, an incomplete response, whatever the engine sends.

No change of the product.

--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -86,6 +86,7 @@
         bool isEndless{ false };
         bool hasBegun{ false };
         std::uint64_t nextEvent{ 1 };
+        std::uint64_t breakAfter{ kEventsPerStream }; ///< last event that is written
     };
 
     /// State of one engine or service; only engines use the last four members.
@@ -206,16 +207,43 @@
         const auto headers = platform::standinAnswerHeaders(metadata.id, upstream.record.version);
         if (upstream.record.model.empty())
             return this->runPlain(upstream, request.path, headers, reply, isCrashing);
+        if (metadata.lastEvent && this->options.resumedAnswer != ResumedAnswer::sound)
+            return this->answerResumption(*metadata.lastEvent, headers, reply);
+        const bool isBroken = !metadata.lastEvent && this->options.breakAfterEvents > 0;
         upstream.streams.push_back(
                 { .reply = reply,
                   .headers = headers,
                   .beginsAt = now + this->options.prefillTime,
                   .crashesEngine = isCrashing,
                   .isEndless = this->endlessAnswerCount < this->options.endlessAnswers,
-                  .nextEvent = metadata.lastEvent.value_or(0) + 1 });
+                  .nextEvent = metadata.lastEvent.value_or(0) + 1,
+                  .breakAfter = isBroken ? this->options.breakAfterEvents : kEventsPerStream });
         this->endlessAnswerCount += upstream.streams.back().isEndless ? 1 : 0;
     }
 
+    /// Answers the resumption of a stream after the event `lastEvent` with something else than the
+    /// rest of the stream.
+    void answerResumption(std::uint64_t lastEvent, const HttpHeaders &headers,
+                          const AbortableReplyPtr &reply) const
+    {
+        constexpr const char *errorText = "internal error\n\n";
+        const ResumedAnswer kind = this->options.resumedAnswer;
+        if (kind == ResumedAnswer::failure)
+            return reply->send(500, "text/plain", errorText, headers);
+        if (kind == ResumedAnswer::otherType)
+            return reply->send(200, "application/json", "{}", headers);
+        reply->start(200, "text/event-stream", headers);
+        if (kind == ResumedAnswer::skipsEvents) {
+            for (std::uint64_t number = lastEvent + 3; number <= kEventsPerStream; ++number)
+                reply->write(eventText(number));
+        } else if (kind == ResumedAnswer::containsHead) {
+            reply->write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        } else if (kind == ResumedAnswer::plainText) {
+            reply->write(errorText);
+        }
+        reply->finish();
+    }
+
     /// Adds what an upstream says of itself to the headers of an answer.
     static HttpHeaders withStatements(HttpHeaders headers, const Upstream &upstream)
     {
@@ -314,7 +342,9 @@
         std::erase_if(engine.streams, [](const Stream &stream) {
             if (stream.nextEvent > kEventsPerStream)
                 stream.reply->finish();
-            return stream.nextEvent > kEventsPerStream || stream.reply->gone();
+            else if (stream.nextEvent > stream.breakAfter)
+                stream.reply->abort();
+            return stream.nextEvent > stream.breakAfter || stream.reply->gone();
         });
         if (engine.pendingLoadVersion && engine.streams.empty())
             this->loadVersion(engine, *std::exchange(engine.pendingLoadVersion, std::nullopt));
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -16,6 +16,17 @@
 
 namespace egret {
 
+/// What an engine answers to the resumption of a broken stream.
+enum class ResumedAnswer : std::uint8_t {
+    sound,        ///< the rest of the stream
+    failure,      ///< a failure status with a text
+    otherType,    ///< a success that is no stream
+    empty,        ///< a stream without an event
+    skipsEvents,  ///< a stream that goes on at a later event
+    containsHead, ///< a stream that contains the head of another answer
+    plainText,    ///< a stream that contains the text of an error
+};
+
 struct DeploymentOptions
 {
     std::string addressPrefix{ "127.31" }; ///< first two octets of all IPv4 addresses
@@ -44,6 +55,9 @@
     Milliseconds crashDownTime{ 500 }; ///< time from a crash to the restart
     /// The engines' first answers are one event each, which has no end.
     std::uint32_t endlessAnswers{ 0 };
+    /// Engines break off a stream that is not resumed after this number of events; 0 for never.
+    std::uint64_t breakAfterEvents{ 0 };
+    ResumedAnswer resumedAnswer{ ResumedAnswer::sound };
 };
 
 /// Counters of one simulated upstream: an engine, which serves model weights, or a service, which
