Send a call to the leader once, and bound the calls that a registry holds

Callers saw: documents of 2 MB took 330 MB of memory at a registry with nothing disturbed.

Cause: each pending call was sent to the leader again each 150 ms, whole, for 900 ms, and proposed again on the leader itself; a call whose client had left was held on without a bound; four times a second the leader copied the document to confirm that it is current.

Fix: a call is sent again only when the link that carries it has closed, the leader has changed, or the receiver says that it doesn't lead. The confirmation reads no text.

--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -40,10 +40,12 @@
 /// Share of this machine's processor that views may use. The rest is left for the quorum and for
 /// announcements.
 constexpr double kViewShareOfProcessor = 0.4;
-/// A call to the leader is repeated every `kCallRetryPeriod` and abandoned after `kCallTimeout`,
-/// because the client that made the call tries another registry after one second.
+/// A call that has no leader is tried again every `kCallRetryPeriod`. A call is abandoned after
+/// `kCallTimeout`, because the client that made the call tries another registry after one second.
 constexpr Milliseconds kCallRetryPeriod = 150ms;
 constexpr Milliseconds kCallTimeout = 900ms;
+/// Bound on the texts of the pending calls, which this instance holds until they are answered.
+constexpr std::size_t kMaxPendingCallBytes = 24U << 20U;
 /// Longest wait of a stopping instance for a standby to take its place in the quorum.
 constexpr Milliseconds kLeaveTimeout = 1s;
 /// Bound on the records in a view or in a message to another registry. Records are small, so the
@@ -79,9 +81,19 @@
     ControlCommand command;
     RegistryNode::Done done;
     TimePoint deadline;
-    TimePoint resendAt;
+    TimePoint retryAt;
+    bool isAtNode{ false }; ///< this instance's node has not answered yet
+    /// Link address of the leader that has the call; empty for none. The call is not sent again
+    /// over the same link, which loses nothing while it is up.
+    std::string sentTo;
 };
 
+std::size_t textBytes(const ControlCommand &command)
+{
+    const auto *put = std::get_if<PutNumberedText>(&command);
+    return put != nullptr ? put->text.text.size() : 0;
+}
+
 /// What one incarnation of an upstream has said of itself.
 struct IncarnationStatements
 {
@@ -198,6 +210,15 @@
 
     void call(const ControlCommand &command, Done done)
     {
+        std::size_t bytes = textBytes(command);
+        for (const auto &[id, pending] : this->pendingCalls)
+            bytes += textBytes(pending.command);
+        if (bytes > kMaxPendingCallBytes) {
+            ++this->unavailableCallCount;
+            logWarn("call refused: too many large calls are pending",
+                    { { "calls", this->pendingCalls.size() }, { "bytes", bytes } });
+            return done(ControlResult{ .reason = kUnavailable });
+        }
         const std::uint64_t id = ++this->lastCallId;
         this->pendingCalls[id] = { .command = command,
                                    .done = std::move(done),
@@ -313,8 +334,13 @@
             this->schedule.erase(each.first);
             return true;
         });
-        if (!link->target().empty())
-            logInfo("registry link lost", { { "peer", link->target() } });
+        if (link->target().empty())
+            return;
+        logInfo("registry link lost", { { "peer", link->target() } });
+        for (auto &[id, call] : this->pendingCalls) {
+            if (call.sentTo == link->target())
+                call.sentTo.clear();
+        }
     }
 
     // Views.
@@ -464,12 +490,12 @@
             this->confirmedAt.reset();
             return;
         }
-        this->node.propose(ReadNumberedText{ .name = kDocumentText },
-                           [this, requestedAt](const ControlResult &result) {
-                               this->post([this, requestedAt, reason = result.reason] {
-                                   this->onConfirmed(requestedAt, reason);
-                               });
-                           });
+        // The name of no text: the answer shows that the state is current, and carries no text.
+        this->node.propose(ReadNumberedText{}, [this, requestedAt](const ControlResult &result) {
+            this->post([this, requestedAt, reason = result.reason] {
+                this->onConfirmed(requestedAt, reason);
+            });
+        });
     }
 
     void onConfirmed(TimePoint requestedAt, const std::string &reason)
@@ -667,7 +693,7 @@
         const auto found = this->pendingCalls.find(id);
         if (found == this->pendingCalls.end())
             return;
-        found->second.resendAt = bootNow() + kCallRetryPeriod;
+        found->second.isAtNode = true;
         this->node.propose(found->second.command, [this, id](const ControlResult &result) {
             this->post([this, id, result] { this->onLocalResult(id, result); });
         });
@@ -679,22 +705,29 @@
         // An overdue call is not sent to the leader: its caller has sent the command elsewhere.
         if (found == this->pendingCalls.end() || bootNow() >= found->second.deadline)
             return;
+        found->second.isAtNode = false;
+        found->second.retryAt = bootNow() + kCallRetryPeriod;
+        found->second.sentTo.clear();
         const bool isLeaderElsewhere = result.reason == kNotLeader && !result.leader.empty()
                                        && result.leader != ownLinkEndpoint(this->settings);
-        if (isLeaderElsewhere)
-            this->hub.send(result.leader, Channel::control,
-                           ControlRequest{ .callId = id, .command = found->second.command });
-        else
-            this->finishCall(id, result);
+        if (!isLeaderElsewhere)
+            return this->finishCall(id, result);
+        if (this->hub.send(result.leader, Channel::control,
+                           ControlRequest{ .callId = id, .command = found->second.command }))
+            found->second.sentTo = result.leader;
     }
 
-    /// Completes a pending call. A result from a member that is not the leader is ignored, and
-    /// `tick` repeats the call.
+    /// Completes a pending call. After the result of a member that is not the leader, `tick`
+    /// repeats the call.
     void finishCall(std::uint64_t id, const ControlResult &result)
     {
         const auto found = this->pendingCalls.find(id);
-        if (found == this->pendingCalls.end() || result.reason == kNotLeader)
+        if (found == this->pendingCalls.end())
+            return;
+        if (result.reason == kNotLeader) {
+            found->second.sentTo.clear();
             return;
+        }
         const Done done = std::move(found->second.done);
         this->pendingCalls.erase(found);
         if (result.accepted)
@@ -716,13 +749,15 @@
         this->orderGate.onTurn(now);
         std::vector<Done> expiredCalls;
         std::vector<std::uint64_t> callsToResend;
+        const std::string leader = this->node.quorumStatus().leader;
         for (auto call = this->pendingCalls.begin(); call != this->pendingCalls.end();) {
             if (now >= call->second.deadline) {
                 expiredCalls.push_back(std::move(call->second.done));
                 call = this->pendingCalls.erase(call);
                 continue;
             }
-            if (now >= call->second.resendAt)
+            const bool isElsewhere = !call->second.sentTo.empty() && call->second.sentTo == leader;
+            if (!call->second.isAtNode && !isElsewhere && now >= call->second.retryAt)
                 callsToResend.push_back(call->first);
             ++call;
         }
