Tell others of an upstream's statements only what holds here

Cause: the statements, not the test. An answer in which an upstream says for the first time that it leaves was reported whole, also what it says of the limit, although that was out of date here: a limit named by a later answer ended elsewhere, or one that had ended returned. Registries passed reports on in the same way.

Fix: onAnswer returns what changed, without the parts that are out of date; gateways and registries report that. Callers saw nothing of it so far as known: an upstream that leaves gets no requests.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -972,9 +972,9 @@
             logInfo("upstream asks to wait", { { "request", attempt.request },
                                                { "upstream", attempt.upstream },
                                                { "waitMs", statement.wait.count() } });
-        if (this->onStatement(attempt.upstream, attempt.startedAtMs, statement))
+        if (const auto news = this->onStatement(attempt.upstream, attempt.startedAtMs, statement))
             this->viewReader.sendToAll(
-                    upstreamReport(attempt.upstream, attempt.startedAtMs, statement, now));
+                    upstreamReport(attempt.upstream, attempt.startedAtMs, *news, now));
     }
 
     /// Lengthens a wait by a random time, so that the gateways that were told to wait at the same
@@ -986,13 +986,14 @@
         return wait + Milliseconds(spread(this->randomGenerator));
     }
 
-    /// Applies what an answer says, here or at another gateway; true when something changed that
-    /// other instances must know.
-    bool onStatement(const std::string &upstream, std::uint64_t startedAtMs,
-                     const UpstreamStatement &answer)
+    /// Applies what an answer says, here or at another gateway. Returns what other instances must
+    /// know.
+    std::optional<UpstreamStatement> onStatement(const std::string &upstream,
+                                                 std::uint64_t startedAtMs,
+                                                 const UpstreamStatement &answer)
     {
-        const bool isChanged = this->selector.onStatement(upstream, startedAtMs, answer);
-        if (isChanged)
+        const auto news = this->selector.onStatement(upstream, startedAtMs, answer);
+        if (news)
             logInfo("upstream's statements changed",
                     { { "upstream", upstream },
                       { "isLeaving", answer.isLeaving },
@@ -1000,7 +1001,7 @@
                       { "requestsPerSecond", answer.requestsPerSecond.value_or(0) } });
         if (answer.isLeaving || answer.wait > 0ms)
             this->releasePermitWaits(upstream);
-        return isChanged;
+        return news;
     }
 
     /// Sends the requests that wait for a permit for this upstream elsewhere.
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -547,7 +547,8 @@
         IncarnationStatements &known = this->statements[report.upstream];
         if (known.startedAtMs != report.startedAtMs)
             known = { .startedAtMs = report.startedAtMs };
-        if (!known.statements.onAnswer(statementOf(report, now)))
+        const auto news = known.statements.onAnswer(statementOf(report, now));
+        if (!news)
             return;
         logInfo("upstream's statements changed",
                 { { "upstream", report.upstream },
@@ -556,7 +557,7 @@
                   { "requestsPerSecond", report.requestsPerSecond } });
         for (const auto &[name, reader] : this->readers) {
             if (reader.isGateway && now < reader.lastPullAt + kReaderTimeout)
-                reader.link->send(report);
+                reader.link->send(upstreamReport(report.upstream, report.startedAtMs, *news, now));
         }
     }
 
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -136,12 +136,14 @@
         upstream.recentRequests.pop_front();
 }
 
-bool UpstreamSelector::onStatement(const std::string &upstream, std::uint64_t startedAtMs,
-                                   const UpstreamStatement &answer)
+std::optional<UpstreamStatement> UpstreamSelector::onStatement(const std::string &upstream,
+                                                               std::uint64_t startedAtMs,
+                                                               const UpstreamStatement &answer)
 {
     const auto found = this->upstreams.find(upstream);
-    return found != this->upstreams.end() && found->second.record.startedAtMs == startedAtMs
-           && found->second.statements.onAnswer(answer);
+    if (found == this->upstreams.end() || found->second.record.startedAtMs != startedAtMs)
+        return std::nullopt;
+    return found->second.statements.onAnswer(answer);
 }
 
 std::size_t UpstreamSelector::limitedCount() const
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -124,9 +124,10 @@
     void onLoadNotice(const LoadNotice &notice, TimePoint now);
 
     /// Applies what an answer of an incarnation of an upstream, named by its start, says of the
-    /// upstream; true when something changed that other instances must know.
-    bool onStatement(const std::string &upstream, std::uint64_t startedAtMs,
-                     const UpstreamStatement &answer);
+    /// upstream. Returns what other instances must know, see UpstreamStatements::onAnswer.
+    std::optional<UpstreamStatement> onStatement(const std::string &upstream,
+                                                 std::uint64_t startedAtMs,
+                                                 const UpstreamStatement &answer);
 
     /// Sets the state of the network path to an engine's machine.
     void setPath(const std::string &endpoint, const UpstreamPath &path);
--- a/src/upstream_statements.cpp
+++ b/src/upstream_statements.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-bool UpstreamStatements::onAnswer(const UpstreamStatement &answer)
+std::optional<UpstreamStatement> UpstreamStatements::onAnswer(const UpstreamStatement &answer)
 {
     if (answer.wait > 0ms)
         this->waitUntil =
@@ -24,7 +24,16 @@
             && this->limit.onAnswer({ .requestsPerSecond = answer.requestsPerSecond,
                                       .requestSentAt = answer.requestSentAt,
                                       .answeredAt = answer.answeredAt });
-    return beginsToLeave || hasLimitChanged;
+    if (!beginsToLeave && !hasLimitChanged)
+        return std::nullopt;
+    UpstreamStatement news{ .isLeaving = this->leaving,
+                            .requestSentAt = answer.requestSentAt,
+                            .answeredAt = answer.answeredAt };
+    if (hasLimitChanged) {
+        news.requestsPerSecond = answer.requestsPerSecond;
+        news.endsLimit = answer.endsLimit;
+    }
+    return news;
 }
 
 UpstreamReport UpstreamStatements::report(const std::string &upstream, std::uint64_t startedAtMs,
--- a/src/upstream_statements.h
+++ b/src/upstream_statements.h
@@ -29,9 +29,10 @@
 class UpstreamStatements
 {
 public:
-    /// Applies an answer, seen by this instance or reported by another. True when something changed
-    /// that other instances must know. The same answer may be applied several times.
-    bool onAnswer(const UpstreamStatement &answer);
+    /// Applies an answer, seen by this instance or reported by another. Returns what changed and
+    /// other instances must know, without the parts of the answer that are out of date here. The
+    /// same answer may be applied several times.
+    std::optional<UpstreamStatement> onAnswer(const UpstreamStatement &answer);
 
     /// The latest answer that named the request limit in force; empty: no limit.
     const std::optional<RequestLimitObservation> &requestLimit() const
--- a/tests/upstream_statements_test.cpp
+++ b/tests/upstream_statements_test.cpp
@@ -66,6 +66,23 @@
     EXPECT_FALSE(statements.requestLimit());
 }
 
+// Guards against a departure that brings along what its answer says of a limit, out of date here.
+TEST(UpstreamStatements, AnOutdatedLimitIsNotToldWithADeparture)
+{
+    UpstreamStatements statements;
+    UpstreamStatement limited = answer(0ms, 50ms);
+    limited.requestsPerSecond = 2;
+    statements.onAnswer(limited);
+    UpstreamStatement late = answer(20ms, 90ms);
+    late.endsLimit = true;
+    late.isLeaving = true;
+    const auto news = statements.onAnswer(late);
+    ASSERT_TRUE(news);
+    EXPECT_TRUE(news->isLeaving);
+    EXPECT_FALSE(news->endsLimit) << "the limit was named after the request was sent";
+    EXPECT_TRUE(statements.requestLimit());
+}
+
 // Guards against reports that lose or invent a statement on their way to another instance.
 TEST(UpstreamStatements, FuzzedAnswersInAnyOrderSayTheSameElsewhere)
 {
@@ -87,8 +104,8 @@
             if (each.wait > 0ms)
                 waitEnd = std::max(waitEnd, each.answeredAt + each.wait);
             const TimePoint toldAt = each.answeredAt;
-            if (here.onAnswer(each))
-                elsewhere.onAnswer(statementOf(upstreamReport("u", 1, each, toldAt), toldAt));
+            if (const auto news = here.onAnswer(each))
+                elsewhere.onAnswer(statementOf(upstreamReport("u", 1, *news, toldAt), toldAt));
             const TimePoint now = kStart + Milliseconds(*rc::gen::inRange(0, 15000));
             RC_ASSERT(here.takesRequests(now) == (!hasLeft && now >= waitEnd));
             RC_ASSERT(elsewhere.isLeaving() == here.isLeaving());
