Accept during a planned stop only what can be answered before its end

Cause: a stopping gateway accepted every request for 3 s, whatever its deadline, and closed the connections of what was left at the end of the grace.

Fix: PlannedStop accepts a request that may run only once, and a stream, only if its deadline comes before the last answers are due; others as before. What is in flight when the stop begins, or is accepted later, is answered by then, with 504 if it may have run. A refused request gets its 503 at once, while another gateway has all of its time left.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "node_options.h"
 #include "piece_relay.h"
+#include "planned_stop.h"
 #include "program.h"
 #include "registry_node.h"
 #include "request_digest.h"
@@ -38,16 +39,6 @@
 /// Share of the machine's network bandwidth for relaying pieces of weights. Answers to clients use
 /// the rest.
 constexpr double kPieceRelayLinkShare = 0.5;
-/// Time for which a stopping gateway still accepts new connections. The load balancer probes
-/// readiness once a second and drops an instance after two failures; until then the load balancer
-/// sends clients to the instance.
-constexpr Milliseconds kLoadBalancerDetectionTime = 2500ms;
-/// A stopping gateway accepts requests for this time after the beginning of the stop and refuses
-/// later requests: a stream that starts later would not end within the grace period.
-constexpr Milliseconds kAcceptAfterStop = 3s;
-/// A planned stop ends this long before the end of the grace period (setting `stopGrace`). At the
-/// end of the grace period the process is killed.
-constexpr Milliseconds kStopMargin = 500ms;
 constexpr Milliseconds kDrainPollPeriod = 50ms;
 /// Retry-After value in the answers of a gateway that is stopping or has no usable document. The
 /// next view from a registry, which may bring the document, is due within this time.
@@ -248,32 +239,30 @@
 
     bool isReady() const
     {
-        return !this->isStopping && this->plan != nullptr
+        return !this->plannedStop && this->plan != nullptr
                && this->viewReader.view().isConfirmed(bootNow());
     }
 
     bool drain()
     {
-        const TimePoint drainBegan = bootNow();
-        this->pool.run([this, drainBegan] {
-            this->stopBeganAt = drainBegan;
-            this->isStopping = true;
+        const PlannedStop stop(bootNow(), millisecondsOf(this->settings.bounds.stopGrace));
+        this->pool.run([this, &stop] {
+            this->plannedStop = stop;
             this->frontend.disableKeepAlive();
+            for (const ExchangePtr &exchange : this->exchanges)
+                exchange->lifecycle.limitDeadline(stop.answersDueAt());
             logInfo("planned stop begins", { { "inFlight", this->frontend.unansweredCount() } });
         });
-        const TimePoint drainDeadline =
-                drainBegan + millisecondsOf(this->settings.bounds.stopGrace) - kStopMargin;
         std::size_t unansweredRequests = 0;
         do {
             std::this_thread::sleep_for(kDrainPollPeriod);
-            this->pool.run([this, &unansweredRequests, drainBegan] {
-                if (bootNow() >= drainBegan + kLoadBalancerDetectionTime)
+            this->pool.run([this, &unansweredRequests, &stop] {
+                if (stop.isOutOfBalancer(bootNow()))
                     this->frontend.closeIdle();
                 unansweredRequests = this->frontend.unansweredCount();
             });
-        } while (
-                bootNow() < drainDeadline
-                && (unansweredRequests > 0 || bootNow() < drainBegan + kLoadBalancerDetectionTime));
+        } while (bootNow() < stop.endsAt()
+                 && (unansweredRequests > 0 || !stop.isOutOfBalancer(bootNow())));
         if (unansweredRequests > 0)
             logWarn("planned stop aborts in-flight requests", { { "cutOff", unansweredRequests } });
         return unansweredRequests == 0;
@@ -506,8 +495,6 @@
     {
         RequestMetadata metadata = this->protocol.parseRequest(request);
         const TimePoint now = bootNow();
-        if (this->isStopping && now >= this->stopBeganAt + kAcceptAfterStop)
-            return this->refuse(metadata, *reply, kUnavailable, "stopping");
         // Step 1. Check the request against the document.
         const bool isConfirmed = this->viewReader.view().isConfirmed(now);
         const PlanRoute *route =
@@ -525,6 +512,15 @@
             return this->refuse(metadata, *reply, kUnauthorized, "unknown-key");
         if (metadata.id.empty())
             return this->refuse(metadata, *reply, kBadRequest, "no-identity");
+        const Milliseconds timeLimit =
+                std::min(route->timeout, metadata.remaining.value_or(route->timeout));
+        const RequestTraits traits{ .isIdempotent = route->kind == RequestKind::idempotent,
+                                    .isStream = route->kind == RequestKind::stream,
+                                    .isResumable = route->isResumable,
+                                    .maxAttempts = std::max(1U, route->maxAttempts),
+                                    .deadline = now + timeLimit };
+        if (this->plannedStop && !this->plannedStop->accepts(traits, now))
+            return this->refuse(metadata, *reply, kUnavailable, "stopping");
         std::vector<std::string> suspects = metadata.promptSegments;
         std::string ownSuspect;
         if (this->quarantine.tracksRequests(now))
@@ -542,15 +538,9 @@
             logInfo("quarantined segment is probed",
                     { { "request", metadata.id }, { "segment", decision.suspect } });
         // Step 2. Create the exchange and send the request.
-        const Milliseconds timeLimit =
-                std::min(route->timeout, metadata.remaining.value_or(route->timeout));
-        auto exchange = std::make_shared<Exchange>(
-                RequestLifecycle({ .isIdempotent = route->kind == RequestKind::idempotent,
-                                   .isStream = route->kind == RequestKind::stream,
-                                   .isResumable = route->isResumable,
-                                   .maxAttempts = std::max(1U, route->maxAttempts),
-                                   .deadline = now + timeLimit }),
-                std::move(metadata));
+        auto exchange = std::make_shared<Exchange>(RequestLifecycle(traits), std::move(metadata));
+        if (this->plannedStop)
+            exchange->lifecycle.limitDeadline(this->plannedStop->answersDueAt());
         exchange->isProbe = decision.isProbe;
         exchange->suspect = std::move(ownSuspect);
         exchange->earlierWait = estimateEarlierWait(route->timeout, timeLimit);
@@ -1361,9 +1351,8 @@
     GatewayCounters counters;
     std::map<std::string, LatencyHistogram> firstByteTimes; ///< by service, to the first byte
     std::map<std::string, LatencyHistogram> answerTimes; ///< by service, to the end of the answer
-    std::atomic<bool> isStopping{ false };
-    TimePoint stopBeganAt;
-    bool wasStateConfirmed{ false }; ///< result of the last check of the lease
+    std::optional<PlannedStop> plannedStop;              ///< set when a planned stop begins
+    bool wasStateConfirmed{ false };                     ///< result of the last check of the lease
 };
 
 Gateway::Gateway(const NodeSettings &settings, GatewayProtocol protocol)
--- a/src/request_lifecycle.h
+++ b/src/request_lifecycle.h
@@ -2,6 +2,7 @@
 
 #include "types.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -85,6 +86,12 @@
     /// The deadline of the request passed.
     LifecycleDecision onDeadline();
 
+    /// Brings the deadline forward to `latest`, if it is later.
+    void limitDeadline(TimePoint latest)
+    {
+        this->traits.deadline = std::min(this->traits.deadline, latest);
+    }
+
     TimePoint deadline() const { return this->traits.deadline; }
 
     /// Number of attempts whose bytes may have reached an upstream.
