--- a/tests/staging_test.cpp
+++ b/tests/staging_test.cpp
@@ -330,3 +330,62 @@
     staging.onEngineStatus({ .version = 0 }, kStart + 2s);
     EXPECT_EQ(staging.next(kStart + 2s), StagingTask::readBack);
 }
+
+// Guards against an order of a stager that was killed: the engine takes it while a new version is
+// staged, and loads pieces of two versions.
+TEST(Staging, NoPieceIsStagedWhileAnOrderOfAnEarlierProcessMayBeAccepted)
+{
+    Staging staging({ .orderTimeout = 1s, .hasPredecessor = true });
+    staging.setTarget(3, false, kStart);
+    EXPECT_EQ(staging.next(kStart), StagingTask::fetchManifest);
+    staging.onManifest();
+    EXPECT_EQ(staging.next(kStart + 5s), StagingTask::none) << "the engine stands still";
+    staging.onEngineStatus({ .version = 1 }, kStart + 6s);
+    EXPECT_EQ(staging.next(kStart + 6900ms), StagingTask::none);
+    EXPECT_EQ(staging.next(kStart + 7s), StagingTask::checkHeld);
+}
+
+TEST(Staging, ABusyEngineHasAcceptedTheOrderOfAnEarlierProcess)
+{
+    Staging staging({ .orderTimeout = 1s, .hasPredecessor = true });
+    staging.setTarget(3, false, kStart);
+    staging.next(kStart);
+    staging.onManifest();
+    staging.onEngineStatus({ .version = 1, .isBusy = true }, kStart);
+    EXPECT_EQ(staging.next(kStart + 10ms), StagingTask::checkHeld);
+}
+
+// Guards against an engine that accepts an order of an earlier target when it goes on after a
+// freeze.
+TEST(Staging, AnOrderToAnEngineThatStandsStillMayBeAcceptedWhenItGoesOn)
+{
+    Staging staging({ .orderTimeout = 1s });
+    const std::uint64_t order = startOrder(staging, 2);
+    staging.setTarget(3, true, kStart + 100ms);
+    staging.next(kStart + 100ms);
+    staging.onManifest();
+    staging.onEngineUnreachable();
+    staging.onOrdered(order, OrderReply::unknown, kStart + 1s);
+    EXPECT_EQ(staging.next(kStart + 4s), StagingTask::none);
+    staging.onEngineStatus({ .version = 1 }, kStart + 5s);
+    EXPECT_EQ(staging.next(kStart + 5900ms), StagingTask::none);
+    EXPECT_EQ(staging.next(kStart + 6s), StagingTask::checkHeld);
+}
+
+// Guards against staged pieces that an engine has lost with its power after they were read back.
+TEST(Staging, PiecesAreReadBackAgainAfterTheEngineRestarted)
+{
+    for (const bool isSeenDown : { true, false }) {
+        Staging staging({ .verificationLifetime = 10s });
+        staging.setTarget(2, false, kStart);
+        staging.onEngineStatus({ .version = 0, .startedAtMs = 1 }, kStart);
+        collect(staging, kStart);
+        staging.next(kStart);
+        staging.onReadBack(staging.taskNumber(), true, kStart);
+        if (isSeenDown)
+            staging.onEngineUnreachable();
+        staging.onEngineStatus({ .version = 0, .startedAtMs = isSeenDown ? 1U : 2U },
+                               kStart + 200ms);
+        EXPECT_EQ(staging.next(kStart + 300ms), StagingTask::readBack) << isSeenDown;
+    }
+}
