--- a/tests/quorum_replacement_test.cpp
+++ b/tests/quorum_replacement_test.cpp
@@ -196,9 +196,13 @@
     }
 };
 
-void checkRandomReplacements()
+/// Each disk takes a random time of up to `longestSync` for a sync.
+void checkRandomReplacements(Milliseconds longestSync)
 {
     SelfManagedGroup group(*rc::gen::arbitrary<std::uint32_t>());
+    for (SimulatedMember &member : group.members)
+        member.syncTime =
+                longestSync > 0ms ? Milliseconds(group.random() % longestSync.count()) : 0ms;
     group.run(4s);
     rc::state::check(NoModel{}, group, rc::state::gen::execOneOfWithArgs<ReplacementStep>());
     group.settleAndCheck();
@@ -443,7 +447,13 @@
 // replaced while instances crash, are cut off and lose their data folders.
 RC_GTEST_PROP(QuorumMembership, KeepsCommittedEntriesWhileMembersAreReplaced, ())
 {
-    checkRandomReplacements();
+    checkRandomReplacements(0ms);
+}
+
+// Guards against the same while the syncs of the disks take long.
+RC_GTEST_PROP(QuorumMembership, KeepsCommittedEntriesWhileDisksAreSlow, ())
+{
+    checkRandomReplacements(150ms);
 }
 
 // Repeats the random test for the number of seconds in the environment variable
@@ -456,7 +466,7 @@
     const auto end = std::chrono::steady_clock::now() + Seconds(std::atoi(seconds));
     rc::detail::TestParams params = rc::detail::configuration().testParams;
     for (; std::chrono::steady_clock::now() < end; ++params.seed) {
-        const auto result = rc::detail::checkTestable(checkRandomReplacements,
+        const auto result = rc::detail::checkTestable([] { checkRandomReplacements(0ms); },
                                                       rc::detail::TestMetadata{}, params);
         rc::detail::SuccessResult success;
         ASSERT_TRUE(result.template is<rc::detail::SuccessResult>())
