Add members again that know the group from an entry that was lost

A leader that is being cut off adds a member whose folder is lost; the member learns of the group, and the entry is lost with the leader. The test's addMembersWithLostFolderAgain asked only for members that know no group, so nobody added it again. On the platform the leader adds such a member by itself: it sends probes.

All checks stay.

--- a/tests/quorum_group.h
+++ b/tests/quorum_group.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -337,13 +338,14 @@
                         "every member has applied every entry");
     }
 
-    /// Adds the members that lost their data folder to the group again, one at a time.
+    /// Adds the members that lost their data folder to the group again, one at a time. A member that
+    /// was added by a leader whose entry was lost knows the group, and is added again too.
     void addMembersWithLostFolderAgain()
     {
         for (std::size_t i = 0; i < this->members.size(); ++i) {
             const auto leaderIndex = this->leader();
-            if (leaderIndex && this->members[i].durableState.cluster == 0
-                && this->members[*leaderIndex].durableState.cluster != 0) {
+            if (leaderIndex && this->members[*leaderIndex].durableState.cluster != 0
+                && !this->isMember(*leaderIndex, i)) {
                 this->members[*leaderIndex].quorum->addMember(this->localTime(*leaderIndex),
                                                               endpointOf(i));
                 this->perform(*leaderIndex);
@@ -352,6 +354,15 @@
         }
     }
 
+    /// True when the folder of member `i` is in the membership that `observer` knows.
+    bool isMember(std::size_t observer, std::size_t i) const
+    {
+        return std::ranges::any_of(
+                this->members[observer].quorum->members().members, [&](const QuorumMember &each) {
+                    return each.folder == this->members[i].durableState.folder;
+                });
+    }
+
     /// Adds `property` to `violations` if `holds` is false.
     void check(bool holds, const std::string &property)
     {
