Take back the waiting for orders of an earlier stager

 let a stager wait for orders and writes that its engine may still carry out, and read the staged pieces back again after a silence of the engine.

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -114,7 +114,7 @@
                      { .stateChanged = [this] { this->onOperatorState(); },
                        .upstreamChanged = [](const UpstreamRecord &) {} }),
           httpCalls(this->pool.context()), uploadTimer(this->pool.context()),
-          staging({ .rolloutLimit = settings.bounds.version, .hasPredecessor = true })
+          staging({ .rolloutLimit = settings.bounds.version })
     {}
 
     bool start(std::string &problem)
@@ -305,10 +305,8 @@
         // An engine that has no weights and loads none has run no request since its start.
         if (this->report->version == 0 && !this->report->isBusy)
             this->permits.onUpstreamUnused(bootNow());
-        this->staging.onEngineStatus({ .version = this->report->version,
-                                       .isBusy = this->report->isBusy,
-                                       .startedAtMs = this->report->startedAtMs },
-                                     bootNow());
+        this->staging.onEngineStatus(
+                { .version = this->report->version, .isBusy = this->report->isBusy }, bootNow());
         this->sendLoadNotices();
     }
 
--- a/src/staging.cpp
+++ b/src/staging.cpp
@@ -67,35 +67,16 @@
 
 void Staging::onEngineStatus(const EngineStatus &status, TimePoint now)
 {
-    if (!this->engineStatus)
-        this->onEngineReturned(now);
     // Orders are sent only to an engine that is not busy, so a busy engine has accepted the order.
     if (status.isBusy && this->orderInFlight == 0)
         this->orderExpiresAt = std::min(this->orderExpiresAt, now);
-    if (status.startedAtMs != this->engineStartedAtMs)
-        this->verifiedAt.reset();
-    this->engineStartedAtMs = status.startedAtMs;
+    // A task that failed because the engine was unreachable is retried as soon as the engine
+    // responds.
+    if (!this->engineStatus)
+        this->notBefore = std::min(this->notBefore, now);
     this->engineStatus = status;
 }
 
-/// A task that failed because the engine was unreachable is retried as soon as the engine responds.
-/// What the engine left unanswered may take effect now.
-void Staging::onEngineReturned(TimePoint now)
-{
-    this->notBefore = std::min(this->notBefore, now);
-    if (this->isOrderUnanswered)
-        this->orderExpiresAt = std::max(this->orderExpiresAt, now + this->options.orderTimeout);
-    if (this->isWriteUnanswered)
-        this->writesExpireAt = std::max(this->writesExpireAt, now + this->options.writeTimeout);
-    this->isOrderUnanswered = this->isWriteUnanswered = false;
-}
-
-void Staging::onEngineUnreachable()
-{
-    this->engineStatus.reset();
-    this->verifiedAt.reset();
-}
-
 StagingTask Staging::next(TimePoint now)
 {
     if (this->runningTask != 0 || now < this->notBefore)
@@ -146,22 +127,20 @@
 /// Whether the engine may still accept an order that was sent.
 bool Staging::mayOrderBeAccepted(TimePoint now) const
 {
-    return this->orderInFlight != 0 || this->isOrderUnanswered || now < this->orderExpiresAt;
+    return this->orderInFlight != 0 || now < this->orderExpiresAt;
 }
 
 /// Whether the engine may still store a piece that was sent.
 bool Staging::mayWriteBeStored(TimePoint now) const
 {
-    return this->writesInFlight > 0 || this->isWriteUnanswered || now < this->writesExpireAt;
+    return this->writesInFlight > 0 || now < this->writesExpireAt;
 }
 
 void Staging::onWriteEnded(bool isAnswered, TimePoint now)
 {
     --this->writesInFlight;
-    if (isAnswered)
-        return;
-    this->writesExpireAt = now + this->options.writeTimeout;
-    this->isWriteUnanswered = !this->engineStatus;
+    if (!isAnswered)
+        this->writesExpireAt = now + this->options.writeTimeout;
 }
 
 StagingTask Staging::start(StagingTask task)
@@ -249,10 +228,8 @@
 {
     if (task == this->orderInFlight) {
         this->orderInFlight = 0;
-        if (reply == OrderReply::unknown) {
+        if (reply == OrderReply::unknown)
             this->orderExpiresAt = now + this->options.orderTimeout;
-            this->isOrderUnanswered = !this->engineStatus;
-        }
     }
     if (!this->end(task))
         return;
--- a/src/staging.h
+++ b/src/staging.h
@@ -37,8 +37,6 @@
     Milliseconds orderTimeout{ 1s };
     /// A write that the engine left unanswered may be stored within this time after its end.
     Milliseconds writeTimeout{ 1s };
-    /// An earlier process may have left an order and writes unanswered at the engine.
-    bool hasPredecessor{ false };
 };
 
 /// Status reported by an engine.
@@ -46,7 +44,6 @@
 {
     std::uint64_t version{ 0 }; ///< version of which the engine has loaded every layer, 0 for none
     bool isBusy{ false };       ///< the engine is executing a load order
-    std::uint64_t startedAtMs{ 0 }; ///< start of the engine in milliseconds since the epoch
 };
 
 /// The engine's response to a load order; `unknown` if the engine did not respond.
@@ -76,17 +73,13 @@
 /// are read back and verified: staged bytes may become corrupt, and the engine doesn't verify the
 /// bytes. The engine takes the staged bytes at the moment it accepts an order, and staged pieces
 /// are overwritten. So no piece of a new target is staged while an order for an earlier target may
-/// still be accepted, and pieces are read back only when no write can still be stored. An engine
-/// that stood still carries out what it left unanswered when it goes on, so these times count from
-/// its next status. The engines load one after another over the time that remains until
-/// `rolloutLimit`, so that most engines serve at any time. Deterministic; not thread safe.
+/// still be accepted, and pieces are read back only when no write can still be stored. The engines
+/// load one after another over the time that remains until `rolloutLimit`, so that most engines
+/// serve at any time. Deterministic; not thread safe.
 class Staging
 {
 public:
-    explicit Staging(StagingOptions options = {})
-        : options(options), isOrderUnanswered(options.hasPredecessor),
-          isWriteUnanswered(options.hasPredecessor)
-    {}
+    explicit Staging(StagingOptions options = {}) : options(options) {}
 
     /// Sets the target version; a version that is not newer than the target is ignored. `isNew`:
     /// the version was named just now. If false, the time when the version was named is unknown,
@@ -98,9 +91,8 @@
 
     void onEngineStatus(const EngineStatus &status, TimePoint now);
 
-    /// Records that the engine did not respond. No load order is sent until the next status, and
-    /// the staged pieces, which an engine loses with its power, are read back again before.
-    void onEngineUnreachable();
+    /// Records that the engine did not respond; no load order is sent until the next status.
+    void onEngineUnreachable() { this->engineStatus.reset(); }
 
     /// Returns the task to run now, or `none` while the last task is running or nothing is due.
     /// `collect` does not count as running: it is returned on every call until `onCollected`.
@@ -166,7 +158,6 @@
     };
 
     bool isLoadDue(TimePoint now) const;
-    void onEngineReturned(TimePoint now);
     bool mayOrderBeAccepted(TimePoint now) const;
     bool mayWriteBeStored(TimePoint now) const;
     void scheduleRetry(TimePoint now);
@@ -185,15 +176,12 @@
     /// Number of the order that has not ended, 0 for none. It outlives a change of the target.
     std::uint64_t orderInFlight{ 0 };
     TimePoint orderExpiresAt; ///< an order without an answer takes no effect after this time
-    bool isOrderUnanswered;   ///< true until an order without an answer has expired
     std::size_t writesInFlight{ 0 };
     TimePoint writesExpireAt; ///< a write without an answer takes no effect after this time
-    bool isWriteUnanswered;   ///< true until a write without an answer has expired
     TimePoint notBefore;      ///< earliest time of the next task
     std::optional<TimePoint> verifiedAt; ///< time when all staged pieces were last found intact
     TimePoint orderedAt;
     std::optional<EngineStatus> engineStatus; ///< empty while the engine doesn't respond
-    std::uint64_t engineStartedAtMs{ 0 };     ///< in the latest status, 0 before the first
 };
 
 } // namespace egret
