Spread requests over engines by the demand that is expected of all gateways

Gateways decide by the same load notices, up to some hundred milliseconds old. Each took the engine with the shortest predicted wait, so an engine with one free place got the requests of a whole notice period.

Each gateway now spreads the expected requests of all gateways until the predicted waits are equal and draws by the shares. It refuses the share of the requests for which no engine has room in time, after the requests of higher priority.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -598,11 +598,20 @@
         reply.send(status, "", "", headers);
     }
 
+    /// Priority of a request: the customer's, if the document names one, otherwise the route's.
+    static std::uint32_t priorityOf(const Exchange &exchange)
+    {
+        return exchange.customer != nullptr && exchange.customer->priority
+                       ? *exchange.customer->priority
+                       : exchange.route->priority;
+    }
+
     SelectionQuery selectionQuery(const Exchange &exchange, TimePoint now, bool isResume)
     {
         SelectionQuery query{ .service = exchange.service->name,
                               .plan = exchange.service,
                               .promptTokens = exchange.metadata.promptTokens,
+                              .priority = priorityOf(exchange),
                               .routeRegions = &exchange.route->regions,
                               .excluded = exchange.lifecycle.attemptedUpstreams(),
                               .exactVersion = isResume ? exchange.answerVersion : 0,
@@ -877,15 +886,12 @@
                             TimePoint now) const
     {
         const PlanCustomer *customer = exchange.customer;
-        const std::uint32_t priority = customer != nullptr && customer->priority
-                                               ? *customer->priority
-                                               : exchange.route->priority;
         const ForwardMetadata metadata{
             .upstream = selection.upstream,
             .customer = customer == nullptr ? "" : customer->name,
             .remaining =
                     std::chrono::duration_cast<Milliseconds>(exchange.lifecycle.deadline() - now),
-            .priority = std::min<std::uint32_t>(priority, kMaxPriority),
+            .priority = std::min<std::uint32_t>(priorityOf(exchange), kMaxPriority),
             .lastEvent = exchange.events.lastEventId(),
             .version = exchange.lifecycle.hasForwarded() ? exchange.answerVersion : 0
         };
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -14,13 +14,12 @@
 /// the notice arrived: the stager read the load earlier, and requests need time to reach the
 /// engine.
 constexpr Milliseconds kLoadNoticeLag = 30ms;
-/// For each request that this gateway sends to an upstream, this share of all gateways is
-/// assumed to send a request to the same upstream, because all gateways have the same load
-/// notice.
-constexpr double kSameUpstreamGatewayShare = 0.75;
-/// Time after which the requests of other gateways are no longer assumed: a stager would have told
-/// of a load that has changed by more than a few requests.
-constexpr Milliseconds kAssumedRequestLifetime = 400ms;
+/// Time from the reading of an engine's load until a gateway has the next reading: the period of
+/// the stager's readings, the delay to the gateway and the time for which a request is on its way.
+constexpr Milliseconds kNoticeWindow = 200ms;
+/// Share of the requests of each priority that is sent as long as an engine is in time, however
+/// many requests of higher priority there are.
+constexpr double kMinAdmissionShare = 0.25;
 /// Age up to which sent requests are remembered, to add to the load those that a notice lacks.
 constexpr Milliseconds kRecentWindow = 1s;
 /// Margin for errors of the predicted time to the first token, applied when the weights of an
@@ -42,6 +41,9 @@
 constexpr FloatMilliseconds kPlainRequestCost{ 3 };
 /// Replaces `SelectorOptions::costSpread` for plain services; small for the same reason.
 constexpr FloatMilliseconds kPlainCostSpread{ 2 };
+/// Lower bound of what another request adds to the wait at an engine, also where the plan names no
+/// times.
+constexpr FloatMilliseconds kMinWaitPerRequest{ 1 };
 /// Upper bound of a normal round trip. A longer round trip indicates low bandwidth, packet loss or
 /// an outage on the path and is added to the predicted latency.
 constexpr Milliseconds kNormalRoundTrip = 40ms;
@@ -221,27 +223,31 @@
         }
         return selection;
     }
-    // Step 3. Refuse the request when no candidate can return the first token in time.
+    // Step 3. Refuse the request when no candidate can return the first token in time, and refuse
+    // a share of the requests when there is room in time for a part of them only.
+    const bool isEngineService = query.plan != nullptr && query.plan->engine;
     const auto lowestFirstToken =
             std::ranges::min(candidates, {}, &Candidate::expectedFirstToken).expectedFirstToken;
-    if (query.firstTokenLimit && lowestFirstToken > *query.firstTokenLimit) {
-        selection.problem = NoUpstreamReason::busy;
-        const auto excessTime =
-                std::chrono::ceil<Milliseconds>(lowestFirstToken - *query.firstTokenLimit);
-        selection.retryAfter = std::clamp(excessTime, kMinRetryAfter, kMaxRetryAfter);
-        selection.expectedFirstToken = std::chrono::ceil<Milliseconds>(lowestFirstToken);
-        return selection;
-    }
-    // Step 4. Draw a candidate. The weight of a candidate decreases exponentially with the
-    // difference between its cost and the lowest cost.
-    const bool isPlain = query.plan == nullptr || !query.plan->engine;
-    const FloatMilliseconds spread =
-            isPlain ? kPlainCostSpread : FloatMilliseconds(this->options.costSpread);
-    const auto lowestCost = std::ranges::min(candidates, {}, &Candidate::cost).cost;
-    for (Candidate &candidate : candidates) {
-        const double relativeExcessCost = (candidate.cost - lowestCost) / spread;
-        candidate.weight = std::exp(-relativeExcessCost);
+    if (query.firstTokenLimit) {
+        ServiceRates &rates = this->ratesByService[query.service];
+        rates.offered[query.priority].add(now);
+        const double share = lowestFirstToken > *query.firstTokenLimit
+                                     ? 0.0
+                                     : this->admissionShare(candidates, query, now);
+        if (share < 1 && std::uniform_real_distribution<double>()(this->random) >= share) {
+            selection.problem = NoUpstreamReason::busy;
+            const auto excessTime =
+                    std::chrono::ceil<Milliseconds>(lowestFirstToken - *query.firstTokenLimit);
+            selection.retryAfter = std::clamp(excessTime, kMinRetryAfter, kMaxRetryAfter);
+            selection.expectedFirstToken = std::chrono::ceil<Milliseconds>(lowestFirstToken);
+            return selection;
+        }
     }
+    // Step 4. Draw a candidate.
+    if (isEngineService)
+        this->weighEngines(candidates, query, now);
+    else
+        this->weighPlain(candidates);
     const Candidate &selected = this->drawByWeight(candidates);
     Upstream &upstream = *selected.upstream;
     // Without a limit in the plan, the gateway opens at most 256 connections to the upstream.
@@ -268,6 +274,73 @@
     return selection;
 }
 
+/// Expected number of gateways in the zone of this gateway.
+double UpstreamSelector::gatewaysOfZone() const
+{
+    const double zones = std::max<double>(1.0, static_cast<double>(this->options.regions.size()));
+    return std::max(1.0, this->gatewayCount / zones);
+}
+
+/// Share of the requests of the query's priority for which the candidates have room within the
+/// limit on the first token, after the requests of higher priority that are expected before newer
+/// load notices arrive.
+double UpstreamSelector::admissionShare(const std::vector<Candidate> &candidates,
+                                        const SelectionQuery &query, TimePoint now) const
+{
+    double room = 0;
+    // While requests arrive, the engines work: by the end of the window each wait is shorter by
+    // the window.
+    for (const Candidate &candidate : candidates)
+        room += requestsWithin(candidate.target, *query.firstTokenLimit + kNoticeWindow);
+    const double gatewaySeconds =
+            this->gatewayCount * std::chrono::duration<double>(kNoticeWindow).count();
+    double demand = 0;
+    for (const auto &[priority, rate] : this->ratesByService.at(query.service).offered) {
+        const double requests = rate.perSecond(now) * gatewaySeconds;
+        if (priority < query.priority)
+            room -= requests;
+        else if (priority == query.priority)
+            demand = requests;
+    }
+    const bool isHighest =
+            this->ratesByService.at(query.service).offered.begin()->first == query.priority;
+    const double share = demand > 0 ? room / demand : 1.0;
+    return std::clamp(share, isHighest ? 0.0 : kMinAdmissionShare, 1.0);
+}
+
+void UpstreamSelector::weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
+                                    TimePoint now) const
+{
+    std::vector<SpreadTarget> targets;
+    targets.reserve(candidates.size());
+    for (const Candidate &candidate : candidates)
+        targets.push_back(candidate.target);
+    const auto rates = this->ratesByService.find(query.service);
+    const double sentInWindow =
+            rates == this->ratesByService.end()
+                    ? 0.0
+                    : rates->second.sent.perSecond(now)
+                              * std::chrono::duration<double>(kNoticeWindow).count();
+    const std::vector<double> weights =
+            spreadWeights(targets,
+                          { .ofZone = sentInWindow * this->gatewaysOfZone(),
+                            .ofAll = sentInWindow * this->gatewayCount },
+                          this->options.crossZonePenalty);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i].weight = weights[i];
+}
+
+/// The weight of an upstream of a plain service decreases exponentially with the difference
+/// between its cost and the lowest cost.
+void UpstreamSelector::weighPlain(std::vector<Candidate> &candidates) const
+{
+    const auto lowestCost = std::ranges::min(candidates, {}, &Candidate::cost).cost;
+    for (Candidate &candidate : candidates) {
+        const double relativeExcessCost = (candidate.cost - lowestCost) / kPlainCostSpread;
+        candidate.weight = std::exp(-relativeExcessCost);
+    }
+}
+
 bool UpstreamSelector::isAllowed(const Upstream &upstream, const SelectionQuery &query) const
 {
     const UpstreamRecord &record = upstream.record;
@@ -373,14 +446,12 @@
         load = { .active = static_cast<double>(upstream.loadNotice.active),
                  .queued = static_cast<double>(upstream.loadNotice.queued),
                  .slowdownFactor = std::max(1.0, upstream.loadNotice.slowdownFactor) };
-        // Add the requests that the notice does not count yet, including requests that other
-        // gateways, which have the same notice, are assumed to send meanwhile.
-        const double sendingGateways =
-                std::max(1.0, kSameUpstreamGatewayShare * this->gatewayCount);
+        // Add the requests that the notice does not count yet. Those of other gateways are
+        // expected by `spreadWeights`.
         for (const SentRequest &sent : upstream.recentRequests) {
             if (sent.sentAt < upstream.noticeReceivedAt - kLoadNoticeLag)
                 continue;
-            load.queued += now < sent.sentAt + kAssumedRequestLifetime ? sendingGateways : 1.0;
+            load.queued += 1.0;
             load.promptTokens += sent.promptTokens;
         }
     }
@@ -395,11 +466,25 @@
     // a congested or broken path.
     const Milliseconds penalty = (isCrossZone ? this->options.crossZonePenalty : 0ms)
                                  + (upstream.path.hasLink ? 0ms : kUnknownPathPenalty);
-    return { .id = &id,
-             .upstream = &upstream,
-             .load = load.active + load.queued,
-             .expectedFirstToken = expectedFirstToken,
-             .cost = expectedFirstToken + FloatMilliseconds(penalty) };
+    const FloatMilliseconds cost = expectedFirstToken + FloatMilliseconds(penalty);
+    const EngineSpec &spec = *query.plan->engine;
+    return {
+        .id = &id,
+        .upstream = &upstream,
+        .load = load.active + load.queued,
+        .expectedFirstToken = expectedFirstToken,
+        .cost = cost,
+        .target = { .wait = cost
+                            - FloatMilliseconds(isCrossZone ? this->options.crossZonePenalty : 0ms),
+                    .freeSlots = std::max(0.0, spec.slots - load.active - load.queued),
+                    .waitPerStart =
+                            std::max(kMinWaitPerRequest, model.prefillTime(spec.typicalPromptTokens)
+                                                                 * load.slowdownFactor),
+                    .waitPerQueued =
+                            std::max(kMinWaitPerRequest,
+                                     model.typicalServiceTime() / spec.slots * load.slowdownFactor),
+                    .isLocal = !isCrossZone }
+    };
 }
 
 /// Upstreams of plain services send no load notices, so their load is estimated as the number of
@@ -438,6 +523,7 @@
     if (found == this->upstreams.end())
         return;
     ++found->second.inFlight;
+    this->ratesByService[found->second.record.service].sent.add(now);
     found->second.recentRequests.push_back({ .sentAt = now, .promptTokens = promptTokens });
     while (found->second.recentRequests.front().sentAt < now - kRecentWindow)
         found->second.recentRequests.pop_front();
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "arrival_rate.h"
+#include "load_spread.h"
 #include "outlier.h"
 #include "serving_plan.h"
 #include "upstream_statements.h"
@@ -47,6 +49,7 @@
     std::string service;
     const PlanService *plan{ nullptr }; ///< settings of `service`; null: a plain service
     double promptTokens{ 0 };
+    std::uint32_t priority{ 0 }; ///< 0 is the highest
     /// Regions that the route allows; null or empty: all.
     const std::vector<std::string> *routeRegions{ nullptr };
     /// Regions that the customer allows; null or empty: all.
@@ -200,6 +203,13 @@
         FloatMilliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
         FloatMilliseconds cost{ 0 }; ///< `expectedFirstToken` plus the penalties for zone and path
         double weight{ 0 };          ///< relative probability of being selected
+        SpreadTarget target;         ///< engines only
+    };
+    /// Rates at which this gateway's requests to a service arrive.
+    struct ServiceRates
+    {
+        ArrivalRate sent;                             ///< sent to upstreams
+        std::map<std::uint32_t, ArrivalRate> offered; ///< by priority, refused ones included
     };
 
     bool takeEndpoint(const UpstreamRecord &record);
@@ -218,12 +228,19 @@
     Candidate scorePlain(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                          TimePoint now) const;
     const Candidate &drawByWeight(const std::vector<Candidate> &candidates);
+    double admissionShare(const std::vector<Candidate> &candidates, const SelectionQuery &query,
+                          TimePoint now) const;
+    void weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
+                      TimePoint now) const;
+    void weighPlain(std::vector<Candidate> &candidates) const;
+    double gatewaysOfZone() const;
 
     SelectorOptions options;
     std::mt19937_64 random;
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, std::string> idByEndpoint; ///< id of the upstream at an address
     std::set<std::string> zonesOut;
+    std::map<std::string, ServiceRates> ratesByService;
     std::uint32_t gatewayCount{ 1 };
     OutlierDetector outlierDetector;
 };
