Send a load notice when the slowdown factor of an engine changes

Cause: a notice was sent only when the numbers of queued or active requests changed, so gateways learned of a slow period of 600 ms up to 500 ms late (1 s in other regions).

Change: LoadNoticeSchedule also compares the slowdown factor with the last one sent. A change by more than 1.25 times is sent at the next report to gateways of the same region and after at most 300 ms to others. Factors below 1 and values that aren't finite count as 1, as gateways use them, so nothing changes for engines whose factor stays.

--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -324,7 +324,7 @@
 
     /// Sends load notices to the gateways that need a notice now. A change of the engine's
     /// usability or weights version is sent at once. A change of the numbers of queued or running
-    /// requests is sent as `LoadNoticeSchedule` tells.
+    /// requests or of the slowdown factor is sent as `LoadNoticeSchedule` tells.
     void sendLoadNotices()
     {
         LoadNotice notice{ .endpoint = this->settings.engineAddress };
@@ -345,10 +345,11 @@
         this->lastNotice = notice;
         const TimePoint now = bootNow();
         for (auto &[link, schedule] : this->noticeSchedules) {
-            if (!isUrgent && !schedule.isDue(notice.queued, notice.active, now))
+            if (!isUrgent
+                && !schedule.isDue(notice.queued, notice.active, notice.slowdownFactor, now))
                 continue;
             link->send(notice);
-            schedule.onSent(notice.queued, notice.active, now);
+            schedule.onSent(notice.queued, notice.active, notice.slowdownFactor, now);
         }
     }
 
--- a/tests/load_notice_schedule_test.cpp
+++ b/tests/load_notice_schedule_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <limits>
 
 using namespace egret;
 
@@ -28,8 +29,8 @@
         const auto step = at / kReportPeriod;
         active += step % 7 < 4 ? 1 : -1;
         active = std::min(active, 16U);
-        if (schedule.isDue(0, active, TimePoint(at + 10s))) {
-            schedule.onSent(0, active, TimePoint(at + 10s));
+        if (schedule.isDue(0, active, 1, TimePoint(at + 10s))) {
+            schedule.onSent(0, active, 1, TimePoint(at + 10s));
             known = active;
             ++outcome.notices;
         }
@@ -58,8 +59,42 @@
 TEST(LoadNoticeSchedule, OtherRegionsHearSoonOfAQueueThatClears)
 {
     LoadNoticeSchedule schedule(true);
-    schedule.onSent(1, 16, TimePoint(10s));
-    EXPECT_FALSE(schedule.isDue(0, 16, TimePoint(10s + 200ms)));
-    EXPECT_TRUE(schedule.isDue(0, 16, TimePoint(10s + 300ms)));
-    EXPECT_FALSE(schedule.isDue(1, 15, TimePoint(10s + 300ms)));
+    schedule.onSent(1, 16, 1, TimePoint(10s));
+    EXPECT_FALSE(schedule.isDue(0, 16, 1, TimePoint(10s + 200ms)));
+    EXPECT_TRUE(schedule.isDue(0, 16, 1, TimePoint(10s + 300ms)));
+    EXPECT_FALSE(schedule.isDue(1, 15, 1, TimePoint(10s + 300ms)));
+}
+
+// Guards against a slow period of 600 ms that gateways learn of when it is over, because the load
+// of the engine stays the same.
+TEST(LoadNoticeSchedule, SlowPeriodIsKnownWithinAReportPeriod)
+{
+    LoadNoticeSchedule own(false);
+    own.onSent(0, 8, 1, TimePoint(10s));
+    EXPECT_FALSE(own.isDue(0, 8, 1, TimePoint(10s + kReportPeriod)));
+    EXPECT_TRUE(own.isDue(0, 8, 2.5, TimePoint(10s + kReportPeriod)));
+    own.onSent(0, 8, 2.5, TimePoint(10s + kReportPeriod));
+    EXPECT_FALSE(own.isDue(0, 8, 2.5, TimePoint(10s + 2 * kReportPeriod)));
+    EXPECT_TRUE(own.isDue(0, 8, 1, TimePoint(10s + 7 * kReportPeriod)));
+
+    LoadNoticeSchedule remote(true);
+    remote.onSent(0, 8, 1, TimePoint(10s));
+    EXPECT_FALSE(remote.isDue(0, 8, 2.5, TimePoint(10s + 200ms)));
+    EXPECT_TRUE(remote.isDue(0, 8, 2.5, TimePoint(10s + 300ms)));
+    EXPECT_FALSE(remote.isDue(0, 8, 1, TimePoint(10s + 300ms)));
+}
+
+// Guards against notices at each report of an engine whose factor varies without mattering, or
+// isn't a number.
+TEST(LoadNoticeSchedule, SmallChangesOfTheSlowdownFactorAreNotSent)
+{
+    LoadNoticeSchedule schedule(false);
+    schedule.onSent(0, 8, 1, TimePoint(10s));
+    for (const double factor : { 0.1, 0.9, 1.2, -3.0, std::numeric_limits<double>::quiet_NaN(),
+                                 std::numeric_limits<double>::infinity() })
+        EXPECT_FALSE(schedule.isDue(0, 8, factor, TimePoint(10s + 100ms))) << factor;
+    // Changes that add up are sent.
+    schedule.onSent(0, 8, 1.2, TimePoint(10s + 100ms));
+    EXPECT_FALSE(schedule.isDue(0, 8, 1.4, TimePoint(10s + 200ms)));
+    EXPECT_TRUE(schedule.isDue(0, 8, 1.6, TimePoint(10s + 200ms)));
 }
