Estimate the cost of a request from its headers and finished responses

Cause: only the prompt of Token-Count was used. The client's Length-Hint is right at the median, so an engine filled by hints gets more work than counted: the mean of lengths is 1.2 to 1.6 times the median.

Change: RequestMetadata has the maximum and the expected output. OutputLengths learns the mean ratio of output to hint, and the mean length, of each route from streams that ended whole in this request (events times stepsPerPass); it bounds outliers, ignores nonsense and forgets routes that leave the document. PlanRoute::maxPause is read from gapTargetMs, and PlanIndex::pauseLimit gives the lowest of a service. Numbers of tokens that aren't finite or are negative count as none; a prompt of 'nan' would have made the draw of an upstream undefined. New metric egret_output_hint_ratio.

--- a/src/event_stream_merger.cpp
+++ b/src/event_stream_merger.cpp
@@ -118,6 +118,7 @@
             this->lastForwardedId = id;
             this->hasForwardedId = this->isAtPosition = true;
         }
+        this->returnedCount += isComment(event) ? 0 : 1;
         completeEvents += event;
     }
     this->partial.erase(0, this->partial.size() - remaining.size());
--- a/src/event_stream_merger.h
+++ b/src/event_stream_merger.h
@@ -40,6 +40,9 @@
     /// Size in bytes of the incomplete event that is buffered; 0 without one.
     std::size_t partialBytes() const { return this->partial.size(); }
 
+    /// Number of events that were returned, without comments.
+    std::uint64_t returnedEvents() const { return this->returnedCount; }
+
     /// Id of the last event that the client received or that was returned; empty for none.
     std::optional<std::uint64_t> lastEventId() const { return this->lastForwardedId; }
 
@@ -54,6 +57,7 @@
     bool hasForwardedId{ false };               ///< an event with an id was returned
     bool isAtPosition{ true };
     bool isFaulty{ false };
+    std::uint64_t returnedCount{ 0 };
 
     void learnStep(std::uint64_t id);
     bool isGap(std::uint64_t id) const;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -16,6 +16,7 @@
 #include "planned_stop.h"
 #include "program.h"
 #include "registry_node.h"
+#include "request_cost.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
 #include "slow_start_permits.h"
@@ -136,6 +137,8 @@
     bool isProbe{ false };         ///< admitted to test whether it, or a segment, still crashes
     std::string suspect;           ///< `requestSuspect` of the request; empty: not computed yet
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
+    RequestCost cost;
+    bool isResumed{ false }; ///< an attempt continued a broken stream
 
     // The current attempt.
     std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
@@ -315,6 +318,8 @@
         appendMetric("answers_skipped_total", poolCounters.skipped);
         appendMetric("answers_with_surplus_total", poolCounters.surplus);
         appendMetric("document_number", this->plan ? this->plan->plan().number : 0);
+        if (this->plan)
+            this->appendHintRatios(text);
         for (const auto &[route, histogram] : this->firstByteTimes)
             histogram.appendTo(text, "egret_first_byte_seconds", "service=\"" + route + "\"");
         for (const auto &[route, histogram] : this->answerTimes)
@@ -436,6 +441,10 @@
                             { { "number", text.number }, { "problem", problem } });
         this->plan = std::make_shared<const PlanIndex>(std::move(*parsed));
         this->frontend.setBounds(this->plan->plan().bounds);
+        std::set<std::string> routes;
+        for (const PlanRoute &route : this->plan->plan().routes)
+            routes.insert(route.name);
+        this->outputLengths.setRoutes(routes);
         logInfo("document is in force", { { "number", text.number },
                                           { "routes", this->plan->plan().routes.size() },
                                           { "index", this->viewReader.view().state().index } });
@@ -550,6 +559,7 @@
         exchange->route = route;
         exchange->customer = customer;
         exchange->service = this->selectService(*exchange);
+        exchange->cost = this->estimateCost(*exchange);
         exchange->arrivedAt = now;
         this->exchanges.insert(exchange);
         reply->onClientDisconnected([this, weak = std::weak_ptr(exchange)] {
@@ -572,6 +582,54 @@
                                                         - timeout * (kClientTimeoutSpread / 2));
     }
 
+    /// Estimates what a request costs an engine. Requests of plain services have no output tokens.
+    RequestCost estimateCost(const Exchange &exchange) const
+    {
+        RequestCost cost{ .promptTokens = exchange.metadata.promptTokens };
+        if (!exchange.service->engine)
+            return cost;
+        cost.outputTokens = this->outputLengths.expected(exchange.route->name,
+                                                         exchange.metadata.expectedOutputTokens,
+                                                         exchange.metadata.maxOutputTokens);
+        // A response can't be longer than the memory of its engine.
+        const auto capacity = static_cast<double>(exchange.service->engine->kvCapacityTokens);
+        if (capacity > 0)
+            cost.outputTokens = std::min(cost.outputTokens, capacity);
+        return cost;
+    }
+
+    /// Learns the length of a streamed response that ended whole. A resumed one is left out: its
+    /// events come from several attempts, and the client may have had some of them before.
+    void learnOutputLength(const Exchange &exchange)
+    {
+        if (!exchange.service->engine || exchange.isResumed || exchange.metadata.lastEvent)
+            return;
+        const double tokens = static_cast<double>(exchange.events.returnedEvents())
+                              * exchange.service->engine->stepsPerPass;
+        this->outputLengths.onFinished(exchange.route->name, exchange.metadata.expectedOutputTokens,
+                                       tokens);
+    }
+
+    /// Appends the mean ratio of output tokens to hint of each model service: the mean over the
+    /// routes that lead there, weighted by their responses.
+    void appendHintRatios(std::string &text) const
+    {
+        std::map<std::string, double> ratioSums;
+        std::map<std::string, double> responses;
+        for (const PlanRoute &route : this->plan->plan().routes) {
+            const OutputLengths::HintRatio ratio = this->outputLengths.hintRatio(route.name);
+            for (const PlanTarget &target : route.targets) {
+                ratioSums[target.service] += ratio.mean * ratio.responses;
+                responses[target.service] += ratio.responses;
+            }
+        }
+        for (const auto &[service, count] : responses) {
+            if (count > 0)
+                text += "egret_output_hint_ratio{service=\"" + service + "\"} "
+                        + std::to_string(ratioSums[service] / count) + "\n";
+        }
+    }
+
     /// Selects one of the route's services at random, by weight.
     const PlanService *selectService(const Exchange &exchange)
     {
@@ -724,6 +782,7 @@
                                      { "slowStartMs", selection.slowStartRemaining.count() },
                                      { "permitRate", selection.permitRate.value_or(0) },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
+        exchange->isResumed = exchange->isResumed || isResume;
         if (isResume)
             ++this->counters.resumes;
         else if (exchange->lifecycle.attempts() > 0)
@@ -1154,6 +1213,7 @@
         if (exchange->isStreamed) {
             this->startStream(*exchange);
             exchange->reply->finish();
+            this->learnOutputLength(*exchange);
         } else {
             this->onAnswerBegun(*exchange);
             exchange->firstByteAt = now;
@@ -1261,6 +1321,8 @@
                     exchange->firstByteAt ? msSinceArrival(*exchange->firstByteAt) : -1 },
                   { "waitedBeforeMs", exchange->earlierWait.count() },
                   { "promptTokens", exchange->metadata.promptTokens },
+                  { "expectedOutputTokens", exchange->cost.outputTokens },
+                  { "events", exchange->events.returnedEvents() },
                   { "ms", msSinceArrival(now) } });
     }
 
@@ -1335,6 +1397,7 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    OutputLengths outputLengths;
     GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
--- a/src/gateway_protocol.h
+++ b/src/gateway_protocol.h
@@ -16,6 +16,8 @@
     std::optional<Milliseconds> remaining; ///< time that the client still waits
     std::string key;                       ///< API key, empty for none
     double promptTokens{ 0 };              ///< tokens in the prompt, as stated by the client
+    std::optional<double> maxOutputTokens; ///< maximum tokens of the answer that the client allows
+    std::optional<double> expectedOutputTokens; ///< the client's estimate of the answer's tokens
     /// Ids of the segments of the prompt that other prompts may share, in order.
     std::vector<std::string> promptSegments;
     std::optional<std::uint64_t> lastEvent; ///< number of the last event the client received
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -77,6 +77,15 @@
     }
     for (const PlanService &service : this->servingPlan.services)
         this->servicesByName.emplace(service.name, &service);
+    for (const PlanRoute &route : this->servingPlan.routes) {
+        if (route.maxPause <= Milliseconds(0))
+            continue;
+        for (const PlanTarget &target : route.targets) {
+            Milliseconds &limit =
+                    this->pauseLimits.try_emplace(target.service, route.maxPause).first->second;
+            limit = std::min(limit, route.maxPause);
+        }
+    }
 }
 
 const PlanRoute *PlanIndex::route(const std::string &host, const std::string &path) const
@@ -102,4 +111,10 @@
     return found == this->servicesByName.end() ? nullptr : found->second;
 }
 
+Milliseconds PlanIndex::pauseLimit(const std::string &name) const
+{
+    const auto found = this->pauseLimits.find(name);
+    return found == this->pauseLimits.end() ? Milliseconds(0) : found->second;
+}
+
 } // namespace egret
--- a/src/serving_plan.h
+++ b/src/serving_plan.h
@@ -84,6 +84,8 @@
     Milliseconds timeout{ 0 };
     /// Latency objective: time to the response, or to the first event of a stream.
     Milliseconds objective{ 0 };
+    /// Objective for the longest pause between the events of a stream; 0: none.
+    Milliseconds maxPause{ 0 };
     std::uint32_t priority{ 0 }; ///< 0 is the highest
     std::vector<PlanTarget> targets;
     std::uint32_t maxAttempts{ 1 };   ///< maximum number of attempts of one request
@@ -134,6 +136,10 @@
     /// The service named `name`; null for none.
     const PlanService *service(const std::string &name) const;
 
+    /// Lowest pause limit of the routes that lead to the service named `name`, whose streams share
+    /// its engines; 0: none.
+    Milliseconds pauseLimit(const std::string &name) const;
+
     /// True when requests to routes that are not public need a key; false in a plan without
     /// customers.
     bool needsKeys() const { return !this->servingPlan.customers.empty(); }
@@ -143,6 +149,7 @@
     std::map<std::string, std::vector<const PlanRoute *>> routesByHost; ///< longest prefix first
     std::map<std::string, const PlanCustomer *> customersByKey;
     std::map<std::string, const PlanService *> servicesByName;
+    std::map<std::string, Milliseconds> pauseLimits; ///< by service
 };
 
 using PlanIndexPtr = std::shared_ptr<const PlanIndex>;
--- a/tests/event_stream_merger_test.cpp
+++ b/tests/event_stream_merger_test.cpp
@@ -42,6 +42,16 @@
     EXPECT_EQ(events.append(eventOf(12) + eventOf(13)), eventOf(13));
 }
 
+// Guards against lengths of responses that count comments or repeated events.
+TEST(EventStreamMerger, CountsEachReturnedEventOnce)
+{
+    EventStreamMerger events;
+    events.append(eventOf(1) + ": alive\n\n" + eventOf(2) + "id: 3\nda");
+    events.begin();
+    events.append(eventOf(2) + eventOf(3));
+    EXPECT_EQ(events.returnedEvents(), 3U);
+}
+
 TEST(EventStreamMerger, EventsWithoutAnIdAreForwarded)
 {
     EventStreamMerger events;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -88,6 +88,24 @@
     EXPECT_EQ(index.service("origin")->origin->endpoint.port, 8006);
 }
 
+// Guards against streams of a route without a limit that stop those of another at the same engines,
+// and against documents that are refused because of a field that earlier versions ignored.
+TEST(PlatformConfiguration, LowestPauseLimitOfItsRoutesHoldsForAService)
+{
+    const auto limitOf = [](const Json &first, const Json &second) {
+        Json document = configJson();
+        document["routes"][0]["gapTargetMs"] = first;
+        document["routes"][1]["gapTargetMs"] = second;
+        std::string problem;
+        auto plan = platform::parsePlan(document.dump(), problem);
+        return plan ? PlanIndex(std::move(*plan)).pauseLimit("core") : -1ms;
+    };
+    EXPECT_EQ(limitOf(400, 300), 300ms);
+    EXPECT_EQ(limitOf(0, 300), 300ms);
+    EXPECT_EQ(limitOf(Json(), "none"), 0ms);
+    EXPECT_EQ(limitOf(-5, -5), 0ms);
+}
+
 TEST(PlatformConfiguration, RejectsInvalidConfigurations)
 {
     Json unknownService = configJson();
@@ -165,6 +183,7 @@
                      { platform::kExpectInstance, "forged" },
                      { platform::kEnginePathHeader, "10.0.0.1:1=0-16" },
                      { platform::kTokenCount, "1460,80" },
+                     { platform::kLengthHint, "55" },
                      { platform::kPromptPrefix, "5c1e07a2:800, 91bd3f06:410,e4402b7d:250" },
                      { "Connection", "X-Hop" },
                      { "X-Hop", "1" },
@@ -176,6 +195,8 @@
     EXPECT_EQ(metadata.key, "k1");
     EXPECT_EQ(metadata.remaining, 900ms);
     EXPECT_EQ(metadata.promptTokens, 1460.0);
+    EXPECT_EQ(metadata.maxOutputTokens, 80.0);
+    EXPECT_EQ(metadata.expectedOutputTokens, 55.0);
     EXPECT_EQ(metadata.promptSegments, (std::vector<std::string>{ "5c1e07a2", "91bd3f06" }));
     const HttpHeaders headers = protocol.upstreamHeaders(
             request, { .upstream = "i-1", .customer = "t", .remaining = 500ms });
@@ -186,6 +207,8 @@
     EXPECT_EQ(headerValue(headers, platform::kEnginePathHeader), "");
     EXPECT_EQ(headerValue(headers, "X-Hop"), "");
     EXPECT_EQ(headerValue(headers, "X-Kept"), "2");
+    EXPECT_EQ(headerValue(headers, platform::kTokenCount), "1460,80");
+    EXPECT_EQ(headerValue(headers, platform::kLengthHint), "55");
     EXPECT_EQ(std::ranges::count_if(headers,
                                     [](const auto &each) {
                                         return isSameHeaderName(each.first, platform::kTenant);
@@ -193,6 +216,26 @@
               1);
 }
 
+// Guards against predictions that aren't numbers because a client stated such a size.
+TEST(PlatformHeaders, IgnoresNumbersOfTokensThatAreNone)
+{
+    const auto metadataOf = [](const std::string &count, const std::string &hint) {
+        const HttpRequest request{ .headers = { { platform::kTokenCount, count },
+                                                { platform::kLengthHint, hint } } };
+        return platform::gatewayProtocol().parseRequest(request);
+    };
+    for (const std::string value : { "nan", "inf", "-inf", "-3", "", "x", "1e999" }) {
+        const RequestMetadata metadata = metadataOf(value + "," + value, value);
+        EXPECT_EQ(metadata.promptTokens, 0) << value;
+        EXPECT_EQ(metadata.maxOutputTokens, std::nullopt) << value;
+        EXPECT_EQ(metadata.expectedOutputTokens, std::nullopt) << value;
+    }
+    EXPECT_EQ(metadataOf("100", " 7").maxOutputTokens, std::nullopt);
+    EXPECT_EQ(metadataOf("100", " 7").expectedOutputTokens, 7.0);
+    EXPECT_EQ(metadataOf("100, 60", "").maxOutputTokens, 60.0);
+    EXPECT_LE(metadataOf("1e300,1e300", "1e300").promptTokens, 1e9);
+}
+
 TEST(PlatformHeaders, ReadsTheLowestRequestLimitAndIgnoresWhatIsNoRate)
 {
     const auto limitOf = [](const std::vector<std::string> &values) {
