Predict pauses and waits from tokens, and avoid engines in slow periods

Cause: the wait for a slot was predicted from typical requests, prompts that arrive together stopped the streams of one engine while others were free, and neither a slow period as such nor memory counted.

Change: EngineModel::engineTime is the common unit of cost. The wait uses the known engine times of this gateway's requests since the notice, and the prompt length that the memory used suggests for the rest. longestPause predicts the pass that the request joins; an engine where it exceeds the lowest pause limit of the service's routes costs 300 ms and the excess more. A slow period costs 100 ms for each unit of the factor, beside the longer prediction. An engine without memory for prompt and output is left out while another can begin in time. Values of notices are clamped. New metric egret_pause_limit_exceeded_total.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -168,6 +168,8 @@
     std::uint64_t resumes{ 0 };
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
+    /// Attempts at a time when no engine had room for the request within the limit on pauses.
+    std::uint64_t pauseLimitExceeded{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
     std::uint64_t limitedSends{ 0 };   ///< other requests sent with a permit
     std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
@@ -304,6 +306,7 @@
         appendMetric("upstreams", this->selector.size());
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
+        appendMetric("pause_limit_exceeded_total", this->counters.pauseLimitExceeded);
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         appendMetric("limited_upstreams", this->selector.limitedCount());
         appendMetric("limited_sends_total", this->counters.limitedSends);
@@ -661,6 +664,8 @@
         SelectionQuery query{ .service = exchange.service->name,
                               .plan = exchange.service,
                               .promptTokens = exchange.metadata.promptTokens,
+                              .cost = exchange.cost,
+                              .maxPause = exchange.plan->pauseLimit(exchange.service->name),
                               .routeRegions = &exchange.route->regions,
                               .excluded = exchange.lifecycle.attemptedUpstreams(),
                               .exactVersion = isResume ? exchange.answerVersion : 0,
@@ -778,11 +783,13 @@
                                      { "load", selection.load },
                                      { "noticeAgeMs", selection.noticeAge.count() },
                                      { "expectedMs", selection.expectedFirstToken.count() },
+                                     { "expectedPauseMs", selection.expectedPause.count() },
                                      { "version", selection.version },
                                      { "slowStartMs", selection.slowStartRemaining.count() },
                                      { "permitRate", selection.permitRate.value_or(0) },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
         exchange->isResumed = exchange->isResumed || isResume;
+        this->counters.pauseLimitExceeded += selection.exceedsMaxPause ? 1 : 0;
         if (isResume)
             ++this->counters.resumes;
         else if (exchange->lifecycle.attempts() > 0)
@@ -818,7 +825,7 @@
         this->permitWaits[id] = {
             .exchange = exchange, .selection = selection, .isResume = isResume, .askedAt = now
         };
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
         const PermitRequest request{ .callId = id,
                                      .upstream = selection.upstream,
@@ -880,7 +887,7 @@
             ++this->counters.slowStartSends;
         else if (selection.permitRate)
             ++this->counters.limitedSends;
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         // Tells whether the call's events still matter: false once the request has ended or was
         // sent to another upstream.
         const auto isCurrentAttempt = [exchange, upstream = selection.upstream] {
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -1,6 +1,5 @@
 #include "upstream_selector.h"
 
-#include "engine_model.h"
 #include "slow_start_permits.h"
 
 #include <algorithm>
@@ -49,6 +48,18 @@
 constexpr Milliseconds kUnknownPathPenalty = 300ms;
 /// Penalty of a silent upstream: its periodic announcements to the registry are overdue.
 constexpr Milliseconds kSilentPenalty = 10s;
+/// Penalty of an engine whose predicted longest pause exceeds the limit, in addition to the excess.
+/// It lowers the probability of a selection by a factor of 1,800, so that the engine is used only
+/// if the others are busier by several requests in the queue.
+constexpr Milliseconds kPausePenalty = 300ms;
+/// Penalty of an engine in a slow period, for each unit by which its slowdown factor exceeds 1. The
+/// request would occupy a slot for longer than predicted for its first token, and its events would
+/// come more slowly.
+constexpr Milliseconds kSlownessPenalty = 100ms;
+/// Bounds on what a load notice can say of an engine. Slow periods have factors of 2 to 3, and
+/// engines have queues of two requests for each slot.
+constexpr double kMaxSlowdownFactor = 20;
+constexpr double kMaxQueuedPerSlot = 8;
 
 bool allowsRegion(const std::vector<std::string> *regions, const std::string &region)
 {
@@ -129,6 +140,11 @@
         return;
     Upstream &upstream = this->upstreams[found->second];
     upstream.loadNotice = notice;
+    upstream.loadNotice.slowdownFactor =
+            std::isfinite(notice.slowdownFactor)
+                    ? std::clamp(notice.slowdownFactor, 1.0, kMaxSlowdownFactor)
+                    : 1.0;
+    upstream.loadNotice.memoryUsed = std::min(notice.memoryUsed, notice.memoryTotal);
     upstream.noticeReceivedAt = now;
     upstream.hasNotice = true;
     while (!upstream.recentRequests.empty()
@@ -221,6 +237,15 @@
         }
         return selection;
     }
+    // An engine without memory for the request would preempt it, the newest, as soon as it has
+    // begun. Such an engine is left out only if another one can begin in time: memory is no reason
+    // to refuse.
+    const bool isMemoryFound = std::ranges::any_of(candidates, [&](const Candidate &each) {
+        return each.hasMemory
+               && (!query.firstTokenLimit || each.expectedFirstToken <= *query.firstTokenLimit);
+    });
+    if (isMemoryFound)
+        std::erase_if(candidates, [](const Candidate &each) { return !each.hasMemory; });
     // Step 3. Refuse the request when no candidate can return the first token in time.
     const auto lowestFirstToken =
             std::ranges::min(candidates, {}, &Candidate::expectedFirstToken).expectedFirstToken;
@@ -243,6 +268,8 @@
         candidate.weight = std::exp(-relativeExcessCost);
     }
     const Candidate &selected = this->drawByWeight(candidates);
+    const auto shortestPause =
+            std::ranges::min(candidates, {}, &Candidate::longestPause).longestPause;
     Upstream &upstream = *selected.upstream;
     // Without a limit in the plan, the gateway opens at most 256 connections to the upstream.
     const double connectionLimit = query.plan != nullptr ? query.plan->maxConnections : 0;
@@ -261,6 +288,8 @@
         .noticeAge = upstream.hasNotice
                              ? std::chrono::floor<Milliseconds>(now - upstream.noticeReceivedAt)
                              : 0ms,
+        .expectedPause = std::chrono::ceil<Milliseconds>(selected.longestPause),
+        .exceedsMaxPause = query.maxPause > 0ms && shortestPause > query.maxPause,
         .slowStartRemaining =
                 std::max(0ms, std::chrono::ceil<Milliseconds>(upstream.slowStartUntil - now)),
         .permitRate = this->permitRate(upstream, query, now)
@@ -361,29 +390,67 @@
     return rate;
 }
 
+/// Load of an engine now: what its notice tells, and the requests that the notice doesn't count
+/// yet.
+EngineLoad UpstreamSelector::engineLoad(const EngineModel &model, const EngineSpec &spec,
+                                        const Upstream &upstream, TimePoint now) const
+{
+    // Without a fresh load notice, all gateways are assumed to have as many requests in flight at
+    // the engine as this gateway.
+    if (!this->hasFreshNotice(upstream, now))
+        return { .active = static_cast<double>(upstream.inFlight) * this->gatewayCount };
+    const LoadNotice &notice = upstream.loadNotice;
+    const double slots = std::max(spec.slots, upstream.record.slots);
+    EngineLoad load{ .active = std::min<double>(notice.active, slots),
+                     .queued = std::min<double>(notice.queued, kMaxQueuedPerSlot * slots),
+                     .slowdownFactor = notice.slowdownFactor,
+                     .contextTokens = static_cast<double>(notice.memoryUsed) };
+    load.joining = std::clamp(slots - load.active, 0.0, load.queued);
+    // Add the requests that the notice does not count yet, including requests that other gateways,
+    // which have the same notice, are assumed to send meanwhile.
+    const double sendingGateways = std::max(1.0, kSameUpstreamGatewayShare * this->gatewayCount);
+    for (const SentRequest &sent : upstream.recentRequests) {
+        if (sent.sentAt < upstream.noticeReceivedAt - kLoadNoticeLag)
+            continue;
+        load.queued += now < sent.sentAt + kAssumedRequestLifetime ? sendingGateways : 1.0;
+        load.knownRequests += 1;
+        load.knownEngineTime += model.engineTime(sent.cost);
+        load.pendingPrefill += model.prefillTime(sent.cost.promptTokens);
+    }
+    return load;
+}
+
+/// True when the memory of an engine has room for the prompt and the expected output of a request,
+/// beside the queued requests and those of this gateway that the engine's notice does not count
+/// yet. Also true when the engine doesn't report its memory.
+bool UpstreamSelector::hasMemory(const Upstream &upstream, const SelectionQuery &query,
+                                 TimePoint now) const
+{
+    const LoadNotice &notice = upstream.loadNotice;
+    if (!this->hasFreshNotice(upstream, now) || notice.memoryTotal == 0)
+        return true;
+    const EngineSpec &spec = *query.plan->engine;
+    const auto tokensOf = [&](double promptTokens, const RequestCost &cost) {
+        return promptTokens
+               + (cost.outputTokens > 0 ? cost.outputTokens : spec.typicalAnswerTokens);
+    };
+    double required = tokensOf(query.promptTokens, query.cost);
+    required += notice.queued * tokensOf(spec.typicalPromptTokens, {});
+    for (const SentRequest &sent : upstream.recentRequests) {
+        if (sent.sentAt >= upstream.noticeReceivedAt - kLoadNoticeLag)
+            required += tokensOf(sent.cost.promptTokens, sent.cost);
+    }
+    return required <= static_cast<double>(notice.memoryTotal - notice.memoryUsed);
+}
+
 UpstreamSelector::Candidate UpstreamSelector::scoreEngine(const std::string &id, Upstream &upstream,
                                                           const SelectionQuery &query,
                                                           TimePoint now) const
 {
     const EngineModel model(*query.plan->engine);
-    // Without a fresh load notice, all gateways are assumed to have as many requests in flight at
-    // the engine as this gateway.
-    EngineLoad load{ .active = static_cast<double>(upstream.inFlight) * this->gatewayCount };
-    if (this->hasFreshNotice(upstream, now)) {
-        load = { .active = static_cast<double>(upstream.loadNotice.active),
-                 .queued = static_cast<double>(upstream.loadNotice.queued),
-                 .slowdownFactor = std::max(1.0, upstream.loadNotice.slowdownFactor) };
-        // Add the requests that the notice does not count yet, including requests that other
-        // gateways, which have the same notice, are assumed to send meanwhile.
-        const double sendingGateways =
-                std::max(1.0, kSameUpstreamGatewayShare * this->gatewayCount);
-        for (const SentRequest &sent : upstream.recentRequests) {
-            if (sent.sentAt < upstream.noticeReceivedAt - kLoadNoticeLag)
-                continue;
-            load.queued += now < sent.sentAt + kAssumedRequestLifetime ? sendingGateways : 1.0;
-            load.promptTokens += sent.promptTokens;
-        }
-    }
+    EngineLoad load = this->engineLoad(model, *query.plan->engine, upstream, now);
+    // The penalty of an outlier stands for requests that are not there and cause no pause.
+    const FloatMilliseconds longestPause = model.longestPause(load, query.promptTokens);
     load.queued += this->outlierDetector.penalty(id, now);
     FloatMilliseconds expectedFirstToken = model.timeToFirstToken(load, query.promptTokens);
     if (upstream.path.roundTrip > kNormalRoundTrip)
@@ -395,11 +462,19 @@
     // a congested or broken path.
     const Milliseconds penalty = (isCrossZone ? this->options.crossZonePenalty : 0ms)
                                  + (upstream.path.hasLink ? 0ms : kUnknownPathPenalty);
+    const bool exceedsMaxPause = query.maxPause > 0ms && longestPause > query.maxPause;
+    const FloatMilliseconds pausePenalty = exceedsMaxPause
+                                                   ? kPausePenalty + (longestPause - query.maxPause)
+                                                   : FloatMilliseconds(0);
+    const FloatMilliseconds slownessPenalty = kSlownessPenalty * (load.slowdownFactor - 1);
     return { .id = &id,
              .upstream = &upstream,
              .load = load.active + load.queued,
              .expectedFirstToken = expectedFirstToken,
-             .cost = expectedFirstToken + FloatMilliseconds(penalty) };
+             .cost = expectedFirstToken + FloatMilliseconds(penalty) + pausePenalty
+                     + slownessPenalty,
+             .longestPause = longestPause,
+             .hasMemory = this->hasMemory(upstream, query, now) };
 }
 
 /// Upstreams of plain services send no load notices, so their load is estimated as the number of
@@ -432,13 +507,13 @@
     return candidates[distribution(this->random)];
 }
 
-void UpstreamSelector::onSent(const std::string &upstream, double promptTokens, TimePoint now)
+void UpstreamSelector::onSent(const std::string &upstream, const RequestCost &cost, TimePoint now)
 {
     const auto found = this->upstreams.find(upstream);
     if (found == this->upstreams.end())
         return;
     ++found->second.inFlight;
-    found->second.recentRequests.push_back({ .sentAt = now, .promptTokens = promptTokens });
+    found->second.recentRequests.push_back({ .sentAt = now, .cost = cost });
     while (found->second.recentRequests.front().sentAt < now - kRecentWindow)
         found->second.recentRequests.pop_front();
 }
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "engine_model.h"
 #include "outlier.h"
 #include "serving_plan.h"
 #include "upstream_statements.h"
@@ -47,6 +48,11 @@
     std::string service;
     const PlanService *plan{ nullptr }; ///< settings of `service`; null: a plain service
     double promptTokens{ 0 };
+    /// Expected cost at an engine; without `outputTokens`, that of a typical request. The prompt is
+    /// taken from `promptTokens`.
+    RequestCost cost;
+    /// Longest pause that the streams at an engine should have; 0: no limit.
+    Milliseconds maxPause{ 0 };
     /// Regions that the route allows; null or empty: all.
     const std::vector<std::string> *routeRegions{ nullptr };
     /// Regions that the customer allows; null or empty: all.
@@ -92,6 +98,10 @@
     double load{ 0 };                     ///< estimated number of requests at the upstream
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
+    /// Predicted longest pause of the streams at an engine once the request joins.
+    Milliseconds expectedPause{ 0 };
+    /// Every engine that can take the request would exceed `SelectionQuery::maxPause`.
+    bool exceedsMaxPause{ false };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
     /// Requests a second to which the upstream's issuer limits permits, see `SlowStartPermits`: the
     /// upstream is in slow start, has named a limit, or has weights that are about to expire, and
@@ -106,6 +116,9 @@
 /// customer, the zones and the version of the weights allow. An upstream of a model service is
 /// an engine; its load is known from load notices, which the stager on the engine's machine
 /// sends. Services without engines are called plain; their upstreams send no load notices.
+/// An engine where the prediction exceeds the limit on pauses, and an engine in a slow period, are
+/// used only if the others are much busier; an engine whose memory has no room for the request,
+/// only if no other has.
 /// Upstreams are drawn at random, weighted by predicted cost, so that gateways with the same
 /// load notices don't all select the same upstream. The selection also has to work while
 /// engines are full most of the time, and while a single engine recovers and all others
@@ -154,9 +167,14 @@
     /// A request that waits for a permit was given up; it counts as in flight no longer.
     void onPermitAbandoned(const std::string &upstream);
 
-    /// A request was sent to an upstream, or a permit to send it was asked for. `promptTokens`:
-    /// length of the prompt.
-    void onSent(const std::string &upstream, double promptTokens, TimePoint now);
+    /// A request was sent to an upstream, or a permit to send it was asked for.
+    void onSent(const std::string &upstream, const RequestCost &cost, TimePoint now);
+
+    /// As above, for a request of which only the length of the prompt is known.
+    void onSent(const std::string &upstream, double promptTokens, TimePoint now)
+    {
+        this->onSent(upstream, RequestCost{ .promptTokens = promptTokens }, now);
+    }
 
     /// A sent request ended without a refusal. `failed`: the upstream caused a failure.
     void onEnded(const std::string &upstream, bool failed, TimePoint now);
@@ -175,7 +193,7 @@
     struct SentRequest
     {
         TimePoint sentAt;
-        double promptTokens{ 0 };
+        RequestCost cost;
     };
     struct Upstream
     {
@@ -200,6 +218,8 @@
         FloatMilliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
         FloatMilliseconds cost{ 0 }; ///< `expectedFirstToken` plus the penalties for zone and path
         double weight{ 0 };          ///< relative probability of being selected
+        FloatMilliseconds longestPause{ 0 }; ///< predicted for the streams at an engine
+        bool hasMemory{ true };              ///< the memory of the engine has room for the request
     };
 
     bool takeEndpoint(const UpstreamRecord &record);
@@ -213,6 +233,9 @@
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
     bool hasFreshNotice(const Upstream &upstream, TimePoint now) const;
+    EngineLoad engineLoad(const EngineModel &model, const EngineSpec &spec,
+                          const Upstream &upstream, TimePoint now) const;
+    bool hasMemory(const Upstream &upstream, const SelectionQuery &query, TimePoint now) const;
     Candidate scoreEngine(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                           TimePoint now) const;
     Candidate scorePlain(const std::string &id, Upstream &upstream, const SelectionQuery &query,
--- a/tests/upstream_selector_test.cpp
+++ b/tests/upstream_selector_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <limits>
+
 using namespace egret;
 
 namespace {
@@ -103,6 +106,37 @@
     EXPECT_NEAR(model.timeToFirstToken({}, 979).count(), 94.2, 3.0);
 }
 
+// Guards against admission and selection that count in different units: a full engine completes one
+// request in the engine time of a request.
+TEST(EngineModel, EngineTimeOfATypicalRequestIsTheWaitForOneSlot)
+{
+    const EngineModel model(engineSpec());
+    const FloatMilliseconds typical = model.engineTime({ .promptTokens = 979, .outputTokens = 92 });
+    EXPECT_NEAR(model.slotWaitTime({ .active = 16 }).count(), typical.count(), 1e-6);
+    EXPECT_NEAR((model.passTime(16) * (92.0 / 5 / 16) + model.prefillTime(979)).count(),
+                typical.count(), 1e-6);
+    EXPECT_EQ(model.engineTime({ .promptTokens = 979 }), typical) << "unknown output";
+    EXPECT_GT(model.engineTime({ .promptTokens = 979, .outputTokens = 400 }), typical * 2);
+}
+
+// Guards against a wait predicted from typical requests where longer ones are known to be there.
+TEST(EngineModel, WaitFollowsTheTokensOutstanding)
+{
+    const EngineModel model(engineSpec());
+    const EngineLoad typical{ .active = 16, .queued = 4 };
+    EngineLoad known = typical;
+    known.knownRequests = 4;
+    known.knownEngineTime = 4 * model.engineTime({ .promptTokens = 979, .outputTokens = 92 });
+    EXPECT_NEAR(model.slotWaitTime(known).count(), model.slotWaitTime(typical).count(), 1e-6);
+    known.knownEngineTime = 4 * model.engineTime({ .promptTokens = 979, .outputTokens = 920 });
+    EXPECT_GT(model.slotWaitTime(known), model.slotWaitTime(typical) * 1.5);
+    EngineLoad largePrompts = typical;
+    largePrompts.contextTokens = 16 * 2500;
+    EXPECT_GT(model.slotWaitTime(largePrompts), model.slotWaitTime(typical) * 1.3);
+    largePrompts.contextTokens = 1e12;
+    EXPECT_LT(model.slotWaitTime(largePrompts), model.slotWaitTime(typical) * 4) << "bounded";
+}
+
 TEST_F(UpstreamSelectorTest, LessLoadedEngineIsDrawnMoreOften)
 {
     for (int engine = 1; engine <= 2; ++engine)
@@ -498,3 +532,121 @@
     onlyE1.version = { .upcomingMinimum = 2, .timeUntilUpcoming = 2s };
     EXPECT_EQ(this->selector.choose(onlyE1, kStart).upstream, "");
 }
+
+// Guards against prompts that arrive together at one engine and stop its streams for longer than
+// the limit, while another engine is free.
+TEST_F(UpstreamSelectorTest, BurstOfPromptsSpreadsSoThatPausesStayBelowTheLimit)
+{
+    constexpr int engineCount = 6;
+    constexpr double promptTokens = 2000; // 99 ms each beside a pass of 49 ms: two fit
+    SelectionQuery query = this->query();
+    query.promptTokens = promptTokens;
+    query.firstTokenLimit.reset();
+    query.maxPause = 300ms;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        this->selector = UpstreamSelector({ .zone = "a" }, seed);
+        for (int engine = 1; engine <= engineCount; ++engine) {
+            this->selector.onRecord(this->record(engine), kStart);
+            this->sendLoadNotice(engine, 8, 0);
+        }
+        for (int i = 0; i < 2 * engineCount; ++i) {
+            const Selection selection = this->selector.choose(query, kStart + 50ms);
+            EXPECT_LE(selection.expectedPause, 300ms) << "seed " << seed << ", prompt " << i;
+            EXPECT_FALSE(selection.exceedsMaxPause);
+            this->selector.onSent(selection.upstream, promptTokens, kStart + 50ms);
+        }
+        // Every engine exceeds the limit now; the request is still served.
+        const Selection selection = this->selector.choose(query, kStart + 50ms);
+        EXPECT_NE(selection.upstream, "");
+        EXPECT_TRUE(selection.exceedsMaxPause);
+    }
+}
+
+// Guards against requests that are sent to an engine in a slow period, and against an engine that
+// is avoided after its slow period.
+TEST_F(UpstreamSelectorTest, EngineInASlowPeriodGetsNoRequestsWhileOthersHaveRoom)
+{
+    const auto notify = [this](int engine, double factor, std::uint32_t queued, TimePoint at) {
+        this->selector.onLoadNotice({ .endpoint = endpointOf(engine),
+                                      .isUsable = true,
+                                      .model = "m",
+                                      .version = 1,
+                                      .queued = queued,
+                                      .active = queued > 0 ? 16U : 8U,
+                                      .slowdownFactor = factor },
+                                    at);
+    };
+    for (int engine = 1; engine <= 4; ++engine) {
+        this->selector.onRecord(this->record(engine), kStart);
+        notify(engine, engine == 1 ? 2.5 : 1, 0, kStart);
+    }
+    EXPECT_EQ(this->selectionCounts(this->query(), 400).count("e1"), 0U);
+    notify(1, 1, 0, kStart + 600ms);
+    EXPECT_GT(this->selectionCounts(this->query(), 400)["e1"], 60);
+    // Slow is better than full.
+    notify(1, 2.5, 0, kStart + 700ms);
+    for (int engine = 2; engine <= 4; ++engine)
+        notify(engine, 1, 12, kStart + 700ms);
+    EXPECT_EQ(this->selectionCounts(this->query())["e1"], 200);
+}
+
+// Guards against predictions that aren't numbers, which would make every draw undefined.
+TEST_F(UpstreamSelectorTest, NonsenseInALoadNoticeIsBounded)
+{
+    for (int engine = 1; engine <= 2; ++engine)
+        this->selector.onRecord(this->record(engine), kStart);
+    SelectionQuery query = this->query();
+    query.firstTokenLimit.reset();
+    query.maxPause = 300ms;
+    LoadNotice notice{ .endpoint = endpointOf(1), .isUsable = true, .model = "m", .version = 1 };
+    for (const double factor : { std::numeric_limits<double>::quiet_NaN(), -3.0, 0.0,
+                                 -std::numeric_limits<double>::infinity() }) {
+        notice.slowdownFactor = factor;
+        this->selector.onLoadNotice(notice, kStart);
+        this->sendLoadNotice(2, 0, 0);
+        EXPECT_GT(this->selectionCounts(query)["e1"], 60) << factor;
+    }
+    notice.queued = notice.active = std::numeric_limits<std::uint32_t>::max();
+    notice.memoryUsed = std::numeric_limits<std::uint64_t>::max();
+    notice.memoryTotal = 300000;
+    for (const double factor : { 1e300, std::numeric_limits<double>::infinity(), 1.0 }) {
+        notice.slowdownFactor = factor;
+        this->selector.onLoadNotice(notice, kStart);
+        EXPECT_EQ(this->selectionCounts(query)["e2"], 200) << factor;
+        query.excluded = { "e2" };
+        const Selection selection = this->selector.choose(query, kStart);
+        EXPECT_EQ(selection.upstream, "e1");
+        EXPECT_LT(selection.expectedFirstToken, 10min) << factor;
+        query.excluded.clear();
+    }
+}
+
+// Guards against requests that an engine has to preempt because its memory is full.
+TEST_F(UpstreamSelectorTest, EngineWithoutMemoryForTheRequestIsUsedOnlyIfNoOtherHasIt)
+{
+    const auto notify = [this](int engine, std::uint64_t memoryUsed, std::uint32_t active) {
+        this->selector.onLoadNotice({ .endpoint = endpointOf(engine),
+                                      .isUsable = true,
+                                      .model = "m",
+                                      .version = 1,
+                                      .active = active,
+                                      .memoryUsed = memoryUsed,
+                                      .memoryTotal = 10000,
+                                      .slowdownFactor = 1 },
+                                    kStart);
+    };
+    for (int engine = 1; engine <= 2; ++engine)
+        this->selector.onRecord(this->record(engine), kStart);
+    SelectionQuery query = this->query();
+    query.cost = { .promptTokens = 979, .outputTokens = 500 };
+    notify(1, 8600, 2);
+    notify(2, 5000, 15);
+    EXPECT_EQ(this->selectionCounts(query)["e2"], 200);
+    query.cost.outputTokens = 100;
+    EXPECT_GT(this->selectionCounts(query)["e1"], 100) << "a short answer fits";
+    // What this gateway has sent since the notice is counted.
+    this->selector.onSent("e1", query.cost, kStart);
+    EXPECT_EQ(this->selectionCounts(query)["e2"], 200);
+    notify(2, 9900, 15);
+    EXPECT_EQ(this->selectionCounts(query).size(), 2U) << "no engine has the memory";
+}
