--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -16,6 +16,7 @@
 #include "planned_stop.h"
 #include "program.h"
 #include "registry_node.h"
+#include "request_cost.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
 #include "slow_start_permits.h"
@@ -136,6 +137,8 @@
     bool isProbe{ false };         ///< admitted to test whether it, or a segment, still crashes
     std::string suspect;           ///< `requestSuspect` of the request; empty: not computed yet
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
+    RequestCost cost;
+    bool isResumed{ false }; ///< an attempt continued a broken stream
 
     // The current attempt.
     std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
@@ -165,6 +168,8 @@
     std::uint64_t resumes{ 0 };
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
+    /// Attempts at a time when no engine had room for the request within the limit on pauses.
+    std::uint64_t pauseLimitExceeded{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
     std::uint64_t limitedSends{ 0 };   ///< other requests sent with a permit
     std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
@@ -301,6 +306,7 @@
         appendMetric("upstreams", this->selector.size());
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
+        appendMetric("pause_limit_exceeded_total", this->counters.pauseLimitExceeded);
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         appendMetric("limited_upstreams", this->selector.limitedCount());
         appendMetric("limited_sends_total", this->counters.limitedSends);
@@ -315,6 +321,8 @@
         appendMetric("answers_skipped_total", poolCounters.skipped);
         appendMetric("answers_with_surplus_total", poolCounters.surplus);
         appendMetric("document_number", this->plan ? this->plan->plan().number : 0);
+        if (this->plan)
+            this->appendHintRatios(text);
         for (const auto &[route, histogram] : this->firstByteTimes)
             histogram.appendTo(text, "egret_first_byte_seconds", "service=\"" + route + "\"");
         for (const auto &[route, histogram] : this->answerTimes)
@@ -436,6 +444,10 @@
                             { { "number", text.number }, { "problem", problem } });
         this->plan = std::make_shared<const PlanIndex>(std::move(*parsed));
         this->frontend.setBounds(this->plan->plan().bounds);
+        std::set<std::string> routes;
+        for (const PlanRoute &route : this->plan->plan().routes)
+            routes.insert(route.name);
+        this->outputLengths.setRoutes(routes);
         logInfo("document is in force", { { "number", text.number },
                                           { "routes", this->plan->plan().routes.size() },
                                           { "index", this->viewReader.view().state().index } });
@@ -550,6 +562,7 @@
         exchange->route = route;
         exchange->customer = customer;
         exchange->service = this->selectService(*exchange);
+        exchange->cost = this->estimateCost(*exchange);
         exchange->arrivedAt = now;
         this->exchanges.insert(exchange);
         reply->onClientDisconnected([this, weak = std::weak_ptr(exchange)] {
@@ -572,6 +585,54 @@
                                                         - timeout * (kClientTimeoutSpread / 2));
     }
 
+    /// Estimates what a request costs an engine. Requests of plain services have no output tokens.
+    RequestCost estimateCost(const Exchange &exchange) const
+    {
+        RequestCost cost{ .promptTokens = exchange.metadata.promptTokens };
+        if (!exchange.service->engine)
+            return cost;
+        cost.outputTokens = this->outputLengths.expected(exchange.route->name,
+                                                         exchange.metadata.expectedOutputTokens,
+                                                         exchange.metadata.maxOutputTokens);
+        // A response can't be longer than the memory of its engine.
+        const auto capacity = static_cast<double>(exchange.service->engine->kvCapacityTokens);
+        if (capacity > 0)
+            cost.outputTokens = std::min(cost.outputTokens, capacity);
+        return cost;
+    }
+
+    /// Learns the length of a streamed response that ended whole. A resumed one is left out: its
+    /// events come from several attempts, and the client may have had some of them before.
+    void learnOutputLength(const Exchange &exchange)
+    {
+        if (!exchange.service->engine || exchange.isResumed || exchange.metadata.lastEvent)
+            return;
+        const double tokens = static_cast<double>(exchange.events.returnedEvents())
+                              * exchange.service->engine->stepsPerPass;
+        this->outputLengths.onFinished(exchange.route->name, exchange.metadata.expectedOutputTokens,
+                                       tokens);
+    }
+
+    /// Appends the mean ratio of output tokens to hint of each model service: the mean over the
+    /// routes that lead there, weighted by their responses.
+    void appendHintRatios(std::string &text) const
+    {
+        std::map<std::string, double> ratioSums;
+        std::map<std::string, double> responses;
+        for (const PlanRoute &route : this->plan->plan().routes) {
+            const OutputLengths::HintRatio ratio = this->outputLengths.hintRatio(route.name);
+            for (const PlanTarget &target : route.targets) {
+                ratioSums[target.service] += ratio.mean * ratio.responses;
+                responses[target.service] += ratio.responses;
+            }
+        }
+        for (const auto &[service, count] : responses) {
+            if (count > 0)
+                text += "egret_output_hint_ratio{service=\"" + service + "\"} "
+                        + std::to_string(ratioSums[service] / count) + "\n";
+        }
+    }
+
     /// Selects one of the route's services at random, by weight.
     const PlanService *selectService(const Exchange &exchange)
     {
@@ -612,6 +673,8 @@
                               .plan = exchange.service,
                               .promptTokens = exchange.metadata.promptTokens,
                               .priority = priorityOf(exchange),
+                              .cost = exchange.cost,
+                              .maxPause = exchange.plan->pauseLimit(exchange.service->name),
                               .routeRegions = &exchange.route->regions,
                               .excluded = exchange.lifecycle.attemptedUpstreams(),
                               .exactVersion = isResume ? exchange.answerVersion : 0,
@@ -729,10 +792,13 @@
                                      { "load", selection.load },
                                      { "noticeAgeMs", selection.noticeAge.count() },
                                      { "expectedMs", selection.expectedFirstToken.count() },
+                                     { "expectedPauseMs", selection.expectedPause.count() },
                                      { "version", selection.version },
                                      { "slowStartMs", selection.slowStartRemaining.count() },
                                      { "permitRate", selection.permitRate.value_or(0) },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
+        exchange->isResumed = exchange->isResumed || isResume;
+        this->counters.pauseLimitExceeded += selection.exceedsMaxPause ? 1 : 0;
         if (isResume)
             ++this->counters.resumes;
         else if (exchange->lifecycle.attempts() > 0)
@@ -768,7 +834,7 @@
         this->permitWaits[id] = {
             .exchange = exchange, .selection = selection, .isResume = isResume, .askedAt = now
         };
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
         const PermitRequest request{ .callId = id,
                                      .upstream = selection.upstream,
@@ -830,7 +896,7 @@
             ++this->counters.slowStartSends;
         else if (selection.permitRate)
             ++this->counters.limitedSends;
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         // Tells whether the call's events still matter: false once the request has ended or was
         // sent to another upstream.
         const auto isCurrentAttempt = [exchange, upstream = selection.upstream] {
@@ -1160,6 +1226,7 @@
         if (exchange->isStreamed) {
             this->startStream(*exchange);
             exchange->reply->finish();
+            this->learnOutputLength(*exchange);
         } else {
             this->onAnswerBegun(*exchange);
             exchange->firstByteAt = now;
@@ -1267,6 +1334,8 @@
                     exchange->firstByteAt ? msSinceArrival(*exchange->firstByteAt) : -1 },
                   { "waitedBeforeMs", exchange->earlierWait.count() },
                   { "promptTokens", exchange->metadata.promptTokens },
+                  { "expectedOutputTokens", exchange->cost.outputTokens },
+                  { "events", exchange->events.returnedEvents() },
                   { "ms", msSinceArrival(now) } });
     }
 
@@ -1341,6 +1410,7 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    OutputLengths outputLengths;
     GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
