Refuse requests by priority and by customer while engines are nearly full

Work was admitted that could not be on time, and the kind with the longest objective was admitted last-refused although its document gives it the lowest priority. OverloadControl refuses lower priorities at random, over a range of occupancy, and customers that ask for much more than usual.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "crash_evidence.h"
 #include "crash_quarantine.h"
+#include "engine_model.h"
 #include "event_stream_merger.h"
 #include "gateway_retry_budgets.h"
 #include "http_frontend.h"
@@ -12,6 +13,7 @@
 #include "link.h"
 #include "log.h"
 #include "node_options.h"
+#include "overload_control.h"
 #include "piece_relay.h"
 #include "planned_stop.h"
 #include "program.h"
@@ -51,6 +53,8 @@
 /// Retry-After value in the answer to a quarantined request or prompt segment. A quarantine
 /// that turns out to be wrong ends sooner; any other lasts for minutes.
 constexpr Milliseconds kQuarantineRetryAfter = 2s;
+/// Reason of the refusal of a request whose latency objective passed while it waited for an engine.
+constexpr const char *kOverloadLate = "overload-late";
 constexpr const char *kQuarantinedSegment = "quarantined-segment";
 constexpr const char *kQuarantinedRequest = "quarantined-request";
 /// An upstream in another region accepts a connection within a few milliseconds. Retransmission
@@ -180,6 +184,58 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+OverloadOptions overloadOptions(const NodeSettings &settings)
+{
+    return { .isEnabled = settings.admission.isEnabled,
+             .start = settings.admission.start,
+             .width = settings.admission.width,
+             .floor = settings.admission.floor };
+}
+
+/// Priority of a customer's requests to a route. `customer`: null for none.
+std::uint32_t effectivePriority(const PlanRoute &route, const PlanCustomer *customer)
+{
+    const std::uint32_t priority =
+            customer != nullptr && customer->priority ? *customer->priority : route.priority;
+    return std::min<std::uint32_t>(priority, kMaxPriority);
+}
+
+/// The distinct priorities that requests to a service may have, with the smallest objective of
+/// each.
+std::vector<PriorityObjective> servicePriorities(const ServingPlan &plan,
+                                                 const std::string &service)
+{
+    std::map<std::uint32_t, Milliseconds> objectives;
+    const auto add = [&objectives](std::uint32_t priority, Milliseconds objective) {
+        const auto [found, isNew] = objectives.try_emplace(priority, objective);
+        found->second = std::min(found->second, objective);
+    };
+    for (const PlanRoute &route : plan.routes) {
+        const bool isTarget = std::ranges::any_of(route.targets, [&](const PlanTarget &each) {
+            return each.service == service && each.weight > 0;
+        });
+        if (!isTarget)
+            continue;
+        add(effectivePriority(route, nullptr), route.objective);
+        for (const PlanCustomer &customer : plan.customers)
+            add(effectivePriority(route, &customer), route.objective);
+    }
+    std::vector<PriorityObjective> priorities;
+    priorities.reserve(objectives.size());
+    for (const auto &[priority, objective] : objectives)
+        priorities.push_back({ .priority = priority, .objective = objective });
+    return priorities;
+}
+
+/// Time of a full engine that a request takes: the prefill of its prompt and, because the length
+/// of its answer is not known, a typical request's share of the passes.
+FloatMilliseconds engineTimeOf(const EngineSpec &engine, double promptTokens)
+{
+    const EngineModel model(engine);
+    return model.typicalServiceTime() / static_cast<double>(engine.slots)
+           - model.prefillTime(engine.typicalPromptTokens) + model.prefillTime(promptTokens);
+}
+
 /// Returns a duration in seconds with three decimals.
 std::string secondsText(Milliseconds duration)
 {
@@ -204,6 +260,7 @@
                     .upstreamChanged =
                             [this](const UpstreamRecord &record) { this->onUpstream(record); } }),
           selector(selectorOptions(settings), randomSeed()),
+          overloadControl(overloadOptions(settings), randomSeed()),
           retryBudgets({ .ratio = settings.bounds.retryRatio * kRetryRatioShare,
                          .slack = settings.bounds.retrySlack * kRetrySlackShare,
                          .window = millisecondsOf(settings.bounds.retryWindow),
@@ -219,6 +276,9 @@
 
     bool start(std::string &problem)
     {
+        problem = overloadOptionsError(overloadOptions(this->settings));
+        if (!problem.empty())
+            return false;
         Reason<std::error_code> reason;
         if (!this->hub.listen(reason)) {
             problem = ownLinkEndpoint(this->settings) + ": " + reason.code.message();
@@ -233,6 +293,7 @@
         this->pool.every(kDeadlineCheckPeriod, [this] {
             this->endOverdueExchanges();
             this->withdrawFromOutdatedUpstreams();
+            this->logSheddingChanges();
         });
         return true;
     }
@@ -319,6 +380,15 @@
             histogram.appendTo(text, "egret_first_byte_seconds", "service=\"" + route + "\"");
         for (const auto &[route, histogram] : this->answerTimes)
             histogram.appendTo(text, "egret_answer_seconds", "service=\"" + route + "\"");
+        for (const ServiceStatus &each : this->overloadControl.status(bootNow())) {
+            const std::string service = "{service=\"" + each.service + "\"";
+            text += "egret_service_occupancy" + service + "} " + std::to_string(each.occupancy)
+                    + "\n";
+            for (const PriorityStatus &status : each.priorities)
+                text += "egret_requests_refused_share" + service + ",priority=\""
+                        + std::to_string(status.priority) + "\"} "
+                        + std::to_string(status.refusedShare) + "\n";
+        }
         return text;
     }
 
@@ -434,13 +504,45 @@
         if (!parsed)
             return logError("failed to parse document in force",
                             { { "number", text.number }, { "problem", problem } });
-        this->plan = std::make_shared<const PlanIndex>(std::move(*parsed));
+        const PlanIndexPtr previous =
+                std::exchange(this->plan, std::make_shared<const PlanIndex>(std::move(*parsed)));
+        this->applyPriorities(previous.get());
         this->frontend.setBounds(this->plan->plan().bounds);
         logInfo("document is in force", { { "number", text.number },
                                           { "routes", this->plan->plan().routes.size() },
                                           { "index", this->viewReader.view().state().index } });
     }
 
+    /// Tells the overload control the priorities of each model service. `previous`: the document in
+    /// force before, null for none.
+    void applyPriorities(const PlanIndex *previous)
+    {
+        if (previous != nullptr) {
+            for (const PlanService &service : previous->plan().services) {
+                if (this->plan->service(service.name) == nullptr)
+                    this->overloadControl.setPriorities(service.name, {});
+            }
+        }
+        for (const PlanService &service : this->plan->plan().services) {
+            std::vector<PriorityObjective> priorities;
+            if (service.engine)
+                priorities = servicePriorities(this->plan->plan(), service.name);
+            this->overloadControl.setPriorities(service.name, std::move(priorities));
+        }
+    }
+
+    void logSheddingChanges()
+    {
+        for (const SheddingChange &change : this->overloadControl.takeChanges(bootNow()))
+            logInfo(change.isShedding ? "shedding of a priority begins"
+                                      : "shedding of a priority ends",
+                    { { "service", change.service },
+                      { "priority", change.priority },
+                      { "occupancy", change.occupancy },
+                      { "requests", change.requests },
+                      { "refused", change.refusals } });
+    }
+
     void applyWeightsVersion(const NumberedText &text)
     {
         const std::string model = text.name.substr(std::string_view(kWeightsTextPrefix).size());
@@ -556,10 +658,36 @@
             if (const auto self = weak.lock())
                 this->onClientGone(self);
         });
+        if (!this->isAdmitted(exchange, now))
+            return;
         this->retryBudgets.onFirstSend(exchange->service->name, now);
         this->chooseAndSend(exchange);
     }
 
+    /// Answers the request at once and returns false when it is refused because the engines of its
+    /// service are nearly full.
+    bool isAdmitted(const ExchangePtr &exchange, TimePoint now)
+    {
+        if (!exchange->service->engine)
+            return true;
+        const AdmissionRequest request{
+            .service = exchange->service->name,
+            .customer = exchange->customer == nullptr ? "" : exchange->customer->name,
+            .priority = effectivePriority(*exchange->route, exchange->customer),
+            .engineTime = engineTimeOf(*exchange->service->engine, exchange->metadata.promptTokens),
+            .isReturning = exchange->earlierWait > 0ms
+        };
+        const AdmissionDecision decision = this->overloadControl.decide(
+                request,
+                this->selector.serviceLoad(this->selectionQuery(*exchange, now, false), now), now);
+        this->logSheddingChanges();
+        if (decision.isAdmitted)
+            return true;
+        exchange->retryAfter = decision.retryAfter;
+        this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(decision.reason));
+        return false;
+    }
+
     /// Estimates the time that a client has spent on earlier attempts. `timeout`: the route's
     /// timeout; `remaining`: time that the client still waits. The client's own timeout is assumed
     /// to be shorter than the route's timeout by half of `kClientTimeoutSpread`.
@@ -615,15 +743,25 @@
         if (deadlines != this->versionDeadlines.end())
             query.version = deadlines->second.requirement(now);
         if (!isResume)
-            query.firstTokenLimit = firstTokenLimit(exchange, now);
+            query.firstTokenLimit =
+                    firstTokenLimit(exchange, this->firstTokenObjective(exchange), now);
         return query;
     }
 
+    /// Objective for the first token: the route's, but at most that of routes with a higher
+    /// priority.
+    Milliseconds firstTokenObjective(const Exchange &exchange) const
+    {
+        const auto higherObjective = this->overloadControl.firstTokenLimit(
+                exchange.service->name, effectivePriority(*exchange.route, exchange.customer));
+        return std::min(exchange.route->objective, higherObjective.value_or(Milliseconds::max()));
+    }
+
     /// Returns the time within which the first token should arrive: the time left until the
     /// latency objective, or `kOverdueObjectiveShare` of the objective when no time is left.
-    static Milliseconds firstTokenLimit(const Exchange &exchange, TimePoint now)
+    static Milliseconds firstTokenLimit(const Exchange &exchange, Milliseconds objective,
+                                        TimePoint now)
     {
-        const Milliseconds objective = exchange.route->objective;
         const auto waited = std::chrono::duration_cast<Milliseconds>(now - exchange.arrivedAt);
         const Milliseconds timeLeft = objective - waited - exchange.earlierWait;
         if (timeLeft > 0ms)
@@ -650,20 +788,26 @@
             return this->giveUpQuarantined(exchange);
         const TimePoint now = bootNow();
         const SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
+        if (!isResume && this->isTooLate(*exchange, query, now)) {
+            exchange->retryAfter = this->overloadControl.withJitter(kDefaultRetryAfter);
+            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(kOverloadLate));
+        }
         const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty()) {
-            exchange->retryAfter = selection.retryAfter;
+            const std::string reason = this->noUpstreamReason(*exchange, selection, now);
+            const bool isBusy = selection.problem == NoUpstreamReason::busy;
+            exchange->retryAfter = isBusy ? this->overloadControl.withJitter(selection.retryAfter)
+                                          : selection.retryAfter;
             logInfo("no upstream can take the request",
                     { { "request", exchange->metadata.id },
-                      { "reason", noUpstreamReasonName(selection.problem) },
+                      { "reason", reason },
                       { "known", this->selector.size() },
                       { "leastVersion", query.version.minimum },
                       { "exactVersion", query.exactVersion },
                       { "firstWithinMs", query.firstTokenLimit.value_or(0ms).count() },
                       { "expectedMs", selection.expectedFirstToken.count() },
                       { "retryAfterMs", selection.retryAfter.count() } });
-            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(
-                                                         noUpstreamReasonName(selection.problem)));
+            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(reason));
         }
         if (selection.permitRate)
             this->requestPermit(exchange, selection, isResume, now);
@@ -671,6 +815,28 @@
             this->sendChosen(exchange, selection, isResume, now);
     }
 
+    /// True for a request that has waited here, for a permit or an earlier attempt, until its
+    /// latency objective passed, while all slots of the usable engines are taken. Sent now, it
+    /// would be late and make other requests late.
+    bool isTooLate(const Exchange &exchange, const SelectionQuery &query, TimePoint now)
+    {
+        if (!this->settings.admission.isEnabled || !exchange.service->engine
+            || now - exchange.arrivedAt < exchange.route->objective)
+            return false;
+        return this->selector.serviceLoad(query, now).occupancy.value_or(0) >= 1;
+    }
+
+    /// Reason why no upstream was selected. A request that would have been sent but for the
+    /// objectives of higher priorities is refused for its priority.
+    std::string noUpstreamReason(const Exchange &exchange, const Selection &selection,
+                                 TimePoint now) const
+    {
+        const bool isForPriority = selection.problem == NoUpstreamReason::busy
+                                   && selection.expectedFirstToken <= firstTokenLimit(
+                                              exchange, exchange.route->objective, now);
+        return isForPriority ? kOverloadPriority : noUpstreamReasonName(selection.problem);
+    }
+
     /// False when the request or a segment of its prompt is quarantined. A probe has one attempt.
     bool mayAttempt(Exchange &exchange) const
     {
@@ -877,15 +1043,12 @@
                             TimePoint now) const
     {
         const PlanCustomer *customer = exchange.customer;
-        const std::uint32_t priority = customer != nullptr && customer->priority
-                                               ? *customer->priority
-                                               : exchange.route->priority;
         const ForwardMetadata metadata{
             .upstream = selection.upstream,
             .customer = customer == nullptr ? "" : customer->name,
             .remaining =
                     std::chrono::duration_cast<Milliseconds>(exchange.lifecycle.deadline() - now),
-            .priority = std::min<std::uint32_t>(priority, kMaxPriority),
+            .priority = effectivePriority(*exchange.route, customer),
             .lastEvent = exchange.events.lastEventId(),
             .version = exchange.lifecycle.hasForwarded() ? exchange.answerVersion : 0
         };
@@ -1335,6 +1498,7 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    OverloadControl overloadControl;
     GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -47,6 +47,15 @@
 constexpr Milliseconds kNormalRoundTrip = 40ms;
 /// Penalty of an engine without a link to its stager, whose network path is unknown.
 constexpr Milliseconds kUnknownPathPenalty = 300ms;
+/// Age up to which a counted load of a service is used again.
+constexpr Milliseconds kKnownLoadMaxAge = 20ms;
+/// Number of counted loads from which they are dropped; a document names fewer sets of regions.
+constexpr std::size_t kMaxKnownLoads = 256;
+/// Most requests that an engine is assumed to hold, running and queued, as a multiple of its slots.
+/// Higher loads in a notice, or derived from this gateway's own requests, are faults.
+constexpr double kMaxRequestsPerSlot = 3;
+/// Highest slowdown factor that is believed.
+constexpr double kMaxSlowdownFactor = 10;
 /// Penalty of a silent upstream: its periodic announcements to the registry are overdue.
 constexpr Milliseconds kSilentPenalty = 10s;
 
@@ -432,6 +441,95 @@
     return candidates[distribution(this->random)];
 }
 
+ServiceLoad UpstreamSelector::serviceLoad(const SelectionQuery &query, TimePoint now)
+{
+    std::string scope = query.service;
+    for (const auto *regions : { query.routeRegions, query.customerRegions }) {
+        scope += '|';
+        for (const std::string &region : regions == nullptr ? std::vector<std::string>{} : *regions)
+            scope += region + ',';
+    }
+    if (this->knownLoads.size() >= kMaxKnownLoads && !this->knownLoads.contains(scope))
+        this->knownLoads.clear();
+    const auto [found, isNew] = this->knownLoads.try_emplace(scope);
+    KnownLoad &known = found->second;
+    if (isNew || now - known.countedAt >= kKnownLoadMaxAge)
+        known = this->countLoad(query, now);
+    ServiceLoad load{ .occupancy = known.occupancy, .scope = std::move(scope) };
+    if (known.firstTokenBeforePrefill)
+        load.firstToken = *known.firstTokenBeforePrefill
+                          + EngineModel(*query.plan->engine).prefillTime(query.promptTokens);
+    return load;
+}
+
+UpstreamSelector::KnownLoad UpstreamSelector::countLoad(const SelectionQuery &query, TimePoint now)
+{
+    SelectionQuery withoutPrompt = query;
+    withoutPrompt.promptTokens = 0;
+    const std::uint64_t requiredVersion = this->requiredVersion(query, now);
+    KnownLoad known{ .countedAt = now };
+    double requests = 0;
+    double slots = 0;
+    bool isAnyFresh = false;
+    for (auto &[id, upstream] : this->upstreams) {
+        if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
+            || !this->servesVersion(upstream, query, requiredVersion, now)
+            || now < upstream.statements.waitEnd() || this->outlierDetector.isEjected(id, now))
+            continue;
+        const Candidate candidate = this->scoreEngine(id, upstream, withoutPrompt, now);
+        if (!this->startsBeforeDeadline(candidate, query, now))
+            continue;
+        const double usableSlots = this->slotsOf(upstream, query, now);
+        if (usableSlots <= 0)
+            continue;
+        requests += this->requestsAt(upstream, *query.plan->engine, now);
+        slots += usableSlots;
+        isAnyFresh = isAnyFresh || this->hasFreshNotice(upstream, now);
+        known.firstTokenBeforePrefill =
+                std::min(known.firstTokenBeforePrefill.value_or(candidate.expectedFirstToken),
+                         candidate.expectedFirstToken);
+    }
+    if (isAnyFresh)
+        known.occupancy = requests / slots;
+    return known;
+}
+
+/// Estimated number of requests at an engine. Unlike `scoreEngine`, assumes no requests of other
+/// gateways since the notice: over all engines, about as many requests have ended since.
+double UpstreamSelector::requestsAt(const Upstream &upstream, const EngineSpec &engine,
+                                    TimePoint now) const
+{
+    double requests = static_cast<double>(upstream.inFlight) * this->gatewayCount;
+    if (this->hasFreshNotice(upstream, now)) {
+        const auto inTransit =
+                std::ranges::count_if(upstream.recentRequests, [&](const auto &each) {
+                    return each.sentAt >= upstream.noticeReceivedAt - kLoadNoticeLag;
+                });
+        requests = static_cast<double>(upstream.loadNotice.active)
+                   + static_cast<double>(upstream.loadNotice.queued)
+                   + static_cast<double>(inTransit);
+    }
+    return std::min(requests, kMaxRequestsPerSlot * engine.slots);
+}
+
+/// Number of slots of an engine of usual speed that would end as many requests: fewer than the
+/// engine has while it is slow, or while permits limit the rate of its requests.
+double UpstreamSelector::slotsOf(const Upstream &upstream, const SelectionQuery &query,
+                                 TimePoint now) const
+{
+    const EngineSpec &engine = *query.plan->engine;
+    double slots = engine.slots;
+    if (const auto rate = this->permitRate(upstream, query, now)) {
+        if (!upstream.path.hasLink)
+            return 0;
+        const FloatMilliseconds serviceTime = EngineModel(engine).typicalServiceTime();
+        slots = std::min(slots, *rate * serviceTime / FloatMilliseconds(1s));
+    }
+    const bool isSlow =
+            this->hasFreshNotice(upstream, now) && upstream.loadNotice.slowdownFactor > 1;
+    return slots / (isSlow ? std::min(upstream.loadNotice.slowdownFactor, kMaxSlowdownFactor) : 1);
+}
+
 void UpstreamSelector::onSent(const std::string &upstream, double promptTokens, TimePoint now)
 {
     const auto found = this->upstreams.find(upstream);
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "outlier.h"
+#include "overload_control.h"
 #include "serving_plan.h"
 #include "upstream_statements.h"
 #include "version_deadlines.h"
@@ -147,6 +148,11 @@
     /// run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
 
+    /// Returns the load of all engines that `choose` may select for the request, now or after a
+    /// refusal: without those that are ejected, that want nothing now or whose weights are about to
+    /// expire. Values are up to 20 ms old. Precondition: the service has engines.
+    ServiceLoad serviceLoad(const SelectionQuery &query, TimePoint now);
+
     /// A permit for the upstream was refused, or no answer came. The request counts as in flight
     /// since `onSent` and does so no longer.
     void onPermitRefused(const std::string &upstream, Milliseconds retryAfter, TimePoint now);
@@ -202,6 +208,15 @@
         double weight{ 0 };          ///< relative probability of being selected
     };
 
+    /// Load of the engines of a service in a set of regions.
+    struct KnownLoad
+    {
+        TimePoint countedAt;
+        std::optional<double> occupancy;
+        /// Predicted time to the first token without the prefill of the request's own prompt.
+        std::optional<FloatMilliseconds> firstTokenBeforePrefill;
+    };
+
     bool takeEndpoint(const UpstreamRecord &record);
     bool isAllowed(const Upstream &upstream, const SelectionQuery &query) const;
     bool startsBeforeDeadline(const Candidate &candidate, const SelectionQuery &query,
@@ -217,6 +232,9 @@
                           TimePoint now) const;
     Candidate scorePlain(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                          TimePoint now) const;
+    KnownLoad countLoad(const SelectionQuery &query, TimePoint now);
+    double requestsAt(const Upstream &upstream, const EngineSpec &engine, TimePoint now) const;
+    double slotsOf(const Upstream &upstream, const SelectionQuery &query, TimePoint now) const;
     const Candidate &drawByWeight(const std::vector<Candidate> &candidates);
 
     SelectorOptions options;
@@ -224,6 +242,7 @@
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, std::string> idByEndpoint; ///< id of the upstream at an address
     std::set<std::string> zonesOut;
+    std::map<std::string, KnownLoad> knownLoads; ///< by service and set of regions
     std::uint32_t gatewayCount{ 1 };
     OutlierDetector outlierDetector;
 };
