--- a/tests/engine_fleet_model.h
+++ b/tests/engine_fleet_model.h
@@ -51,6 +51,14 @@
     int refused{ 0 }; ///< given up after refusals
 
     double onTimeShare() const { return static_cast<double>(onTime) / std::max(1, requests); }
+    Outcome &operator+=(const Outcome &other)
+    {
+        this->requests += other.requests;
+        this->onTime += other.onTime;
+        this->late += other.late;
+        this->refused += other.refused;
+        return *this;
+    }
     double servedShare() const
     {
         return static_cast<double>(onTime + late) / std::max(1, requests);
--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -1,5 +1,6 @@
 #include "generated/settings.h"
 #include "json_fields.h"
+#include "overload_control.h"
 #include "types.h"
 
 #include <gtest/gtest.h>
@@ -82,3 +83,17 @@
     EXPECT_EQ(settings->bounds.retrySlack, 0);
     EXPECT_EQ(settings->bounds.drain, 24h);
 }
+
+// Guards against a deployment whose template, which names no admission settings, turns admission
+// control off or makes it invalid.
+TEST(NodeSettingsTemplate, AdmissionControlIsOnByDefault)
+{
+    const auto settings = read({});
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->admission.isEnabled);
+    const OverloadOptions defaults;
+    EXPECT_EQ(settings->admission.start, defaults.start);
+    EXPECT_EQ(settings->admission.width, defaults.width);
+    EXPECT_EQ(settings->admission.floor, defaults.floor);
+    EXPECT_EQ(overloadOptionsError(defaults), "");
+}
