--- a/src/overload_control.cpp
+++ b/src/overload_control.cpp
@@ -101,13 +101,13 @@
         const double refused = 1 - (1 - byPriority) * (1 - byCustomer);
         const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
         const auto limit = higherObjective(service, rank);
-        const FloatMilliseconds drainTime = this->drainTime(*occupancy, start);
+        const bool isBeyondLimit = limit && load.firstToken && *load.firstToken > *limit;
+        const FloatMilliseconds occupancyDrainTime = drainTime(*occupancy, start);
         if (draw < byCustomer)
-            decision = this->refusal(kOverloadCustomer, std::max(drainTime, excess.drainTime));
-        else if (draw < refused)
-            decision = this->refusal(kOverloadPriority, drainTime);
-        else if (limit && load.firstToken && *load.firstToken > *limit)
-            decision = this->refusal(kOverloadPriority, drainTime);
+            decision = this->refusal(kOverloadCustomer,
+                                     std::max(occupancyDrainTime, excess.drainTime));
+        else if (draw < refused || isBeyondLimit)
+            decision = this->refusal(kOverloadPriority, occupancyDrainTime);
     }
     if (decision.isAdmitted) {
         const double overload = occupancy == nullptr
