Estimate the speeds of upstreams and select by them

Cause: servers of one service differ in speed, and equal loads make the slow ones late. Fixed weights can't follow changes.

Change: ServerSpeeds fits the logarithms of answers' times by kind and by upstream; the selector counts load by speed and keeps a probing floor. Gateways share sums of their answers through a registry.

Not run: tests with processes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -18,7 +18,9 @@
 #include "registry_node.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
+#include "server_speed.h"
 #include "slow_start_permits.h"
+#include "speed_observations.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
 #include "view_reader.h"
@@ -142,6 +144,8 @@
     std::uint64_t permitId{ 0 }; ///< id of the permit request in flight, 0 for none
     std::string upstream;        ///< id of the chosen upstream
     TimePoint sentAt;
+    /// What the upstream's speed is estimated from when the answer arrives.
+    SpeedAnswer speedAnswer;
     std::uint64_t chosenVersion{ 0 }; ///< weights version of the upstream at the time of the choice
     HttpHead head;                    ///< status and headers of the upstream's answer
     AnswerMetadata answer;            ///< parsed from `head`
@@ -204,6 +208,7 @@
                     .upstreamChanged =
                             [this](const UpstreamRecord &record) { this->onUpstream(record); } }),
           selector(selectorOptions(settings), randomSeed()),
+          serverSpeeds(serverSpeedOptions(settings.serverSpeeds)),
           retryBudgets({ .ratio = settings.bounds.retryRatio * kRetryRatioShare,
                          .slack = settings.bounds.retrySlack * kRetrySlackShare,
                          .window = millisecondsOf(settings.bounds.retryWindow),
@@ -219,6 +224,8 @@
 
     bool start(std::string &problem)
     {
+        if (this->settings.serverSpeeds.enabled)
+            this->selector.setSpeeds(&this->serverSpeeds);
         Reason<std::error_code> reason;
         if (!this->hub.listen(reason)) {
             problem = ownLinkEndpoint(this->settings) + ": " + reason.code.message();
@@ -315,6 +322,7 @@
         appendMetric("answers_skipped_total", poolCounters.skipped);
         appendMetric("answers_with_surplus_total", poolCounters.surplus);
         appendMetric("document_number", this->plan ? this->plan->plan().number : 0);
+        this->appendServerSpeeds(text);
         for (const auto &[route, histogram] : this->firstByteTimes)
             histogram.appendTo(text, "egret_first_byte_seconds", "service=\"" + route + "\"");
         for (const auto &[route, histogram] : this->answerTimes)
@@ -327,7 +335,10 @@
 private:
     static SelectorOptions selectorOptions(const NodeSettings &settings)
     {
-        SelectorOptions options{ .zone = settings.zone };
+        constexpr double percent = 100;
+        SelectorOptions options{ .zone = settings.zone,
+                                 .probingFloor =
+                                         settings.serverSpeeds.probingFloorPercent / percent };
         for (const ZoneRegion &each : settings.regions)
             options.regions[each.zone] = each.region;
         return options;
@@ -346,6 +357,8 @@
         else if (const auto *report = std::get_if<UpstreamReport>(&frame.message))
             this->onStatement(report->upstream, report->startedAtMs,
                               statementOf(*report, bootNow()));
+        else if (const auto *speeds = std::get_if<SpeedObservations>(&frame.message))
+            this->onSharedSpeeds(*speeds);
         else if (const auto *probe = std::get_if<SuspectProbeGrant>(&frame.message))
             this->quarantine.onProbeGranted(probe->suspect, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
@@ -386,6 +399,7 @@
         this->selector.setGatewayCount(this->viewReader.view().gatewayCount());
         this->retryBudgets.setGatewayCount(this->viewReader.view().gatewayCount());
         this->maintainStagerLinks();
+        this->updateServerSpeeds();
         const bool isConfirmed = this->viewReader.view().isConfirmed(bootNow());
         if (isConfirmed != std::exchange(this->wasStateConfirmed, isConfirmed))
             logInfo(isConfirmed ? "operators' state is confirmed"
@@ -460,6 +474,7 @@
     void onUpstream(const UpstreamRecord &record)
     {
         this->selector.onRecord(record, bootNow());
+        this->serverSpeeds.onUpstream(record);
         logInfo("upstream changed", { { "upstream", record.id },
                                       { "endpoint", record.endpoint },
                                       { "sequence", record.sequence },
@@ -489,6 +504,71 @@
         }
     }
 
+    // Speeds of upstreams.
+
+    void updateServerSpeeds()
+    {
+        if (!this->settings.serverSpeeds.enabled)
+            return;
+        const TimePoint now = bootNow();
+        this->serverSpeeds.update(now);
+        for (const ServerSpeedChange &change : this->serverSpeeds.takeChanges())
+            logInfo("upstream's speed estimate changed", { { "upstream", change.upstream },
+                                                           { "before", change.before },
+                                                           { "after", change.after } });
+        // One registry is enough: it sends the sums to all gateways.
+        const std::string registry = this->viewReader.view().confirmingRegistry();
+        if (registry.empty())
+            return;
+        SpeedObservations message{ .gateway = this->settings.instance,
+                                   .observations = this->serverSpeeds.takeObservations(now) };
+        if (!message.observations.empty())
+            this->hub.send(registry, Channel::control, message);
+    }
+
+    void onSharedSpeeds(const SpeedObservations &message)
+    {
+        const TimePoint now = bootNow();
+        const std::size_t count = std::min(message.observations.size(), kMaxSpeedObservations);
+        for (std::size_t i = 0; i < count; ++i)
+            this->serverSpeeds.onShared(message.observations[i], now);
+    }
+
+    /// Prepares the estimation of an upstream's speed from the attempt that is being sent.
+    void beginSpeedAnswer(Exchange &exchange, const Selection &selection) const
+    {
+        exchange.speedAnswer = { .upstream = selection.upstream,
+                                 .startedAtMs = selection.startedAtMs,
+                                 .route = exchange.route->name,
+                                 .expected = selection.comparableFirstToken,
+                                 .inFlight = selection.load + 1 };
+    }
+
+    /// Learns from the time of an attempt's first event or, of an answer that isn't streamed, of
+    /// its end.
+    void learnSpeed(const Exchange &exchange)
+    {
+        SpeedAnswer answer = exchange.speedAnswer;
+        if (exchange.service->engine && !answer.expected)
+            return;
+        const TimePoint now = bootNow();
+        answer.measured = now - exchange.sentAt;
+        this->serverSpeeds.onAnswer(answer, now);
+    }
+
+    void appendServerSpeeds(std::string &text) const
+    {
+        for (const auto &[id, status] : this->serverSpeeds.statuses(bootNow())) {
+            const std::string label = "{upstream=\"" + id + "\"} ";
+            text += "egret_server_speed" + label + std::to_string(status.speed) + "\n";
+            text += "egret_server_speed_samples" + label + std::to_string(status.samples) + "\n";
+            text += "egret_server_speed_age_seconds" + label
+                    + std::to_string(static_cast<double>(status.age.count())
+                                     / kMillisecondsPerSecond)
+                    + "\n";
+        }
+    }
+
     // Requests.
 
     void handle(HttpRequest &&request, const AbortableReplyPtr &reply)
@@ -817,6 +897,7 @@
         exchange->events.begin();
         this->answerBuffers.set(exchange, 0);
         exchange->lifecycle.onSend(selection.upstream);
+        this->beginSpeedAnswer(*exchange, selection);
         if (selection.slowStartRemaining > 0ms)
             ++this->counters.slowStartSends;
         else if (selection.permitRate)
@@ -1027,8 +1108,10 @@
 
     void forwardEvents(const ExchangePtr &exchange, const std::string &events)
     {
-        if (!exchange->lifecycle.hasResponseBegun())
+        if (!exchange->lifecycle.hasResponseBegun()) {
+            this->learnSpeed(*exchange);
             this->onAnswerBegun(*exchange);
+        }
         this->startStream(*exchange);
         exchange->reply->write(events);
         if (exchange->reply->pendingBytes() > kMaxUnsentBytes) {
@@ -1155,6 +1238,8 @@
             this->startStream(*exchange);
             exchange->reply->finish();
         } else {
+            if (!exchange->service->engine)
+                this->learnSpeed(*exchange);
             this->onAnswerBegun(*exchange);
             exchange->firstByteAt = now;
             exchange->reply->send(status, "", exchange->body, forwardedHeaders(exchange->head));
@@ -1335,6 +1420,7 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    ServerSpeeds serverSpeeds;
     GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
--- a/src/registry_node.cpp
+++ b/src/registry_node.cpp
@@ -10,6 +10,7 @@
 #include "quarantine_control.h"
 #include "registry.h"
 #include "slow_start_permits.h"
+#include "speed_observations.h"
 #include "text_times.h"
 #include "upstream_check.h"
 #include "upstream_statements.h"
@@ -305,6 +306,8 @@
             this->onPermitRequest(link, *permit);
         else if (const auto *report = std::get_if<UpstreamReport>(&frame.message))
             this->onUpstreamReport(*report);
+        else if (const auto *speeds = std::get_if<SpeedObservations>(&frame.message))
+            this->onSpeedObservations(*speeds);
         else if (const auto *crash = std::get_if<CrashReport>(&frame.message))
             this->onCrashReport(*crash);
         else if (const auto *begun = std::get_if<SuspectsBegun>(&frame.message))
@@ -570,6 +573,32 @@
         }
     }
 
+    // What gateways observe of upstreams' speeds.
+
+    /// Only known gateways may report, so that the number of reporters is bounded.
+    void onSpeedObservations(const SpeedObservations &message)
+    {
+        const auto sender = this->readers.find(message.gateway);
+        if (sender == this->readers.end() || !sender->second.isGateway)
+            return;
+        this->speedObservations.add(
+                message, [this](const std::string &upstream) -> std::optional<std::uint64_t> {
+                    const UpstreamRecord *record = this->registry.find(upstream);
+                    return record == nullptr ? std::nullopt : std::optional(record->startedAtMs);
+                });
+    }
+
+    void sendSpeedObservations(TimePoint now)
+    {
+        std::vector<std::string> gateways;
+        for (const auto &[name, reader] : this->readers) {
+            if (reader.isGateway && now < reader.lastPullAt + kReaderTimeout)
+                gateways.push_back(name);
+        }
+        for (const auto &[name, message] : this->speedObservations.take(gateways, now))
+            this->readers.at(name).link->send(message);
+    }
+
     // Segments and requests that crash upstreams.
 
     /// Text with the quarantined suspects in the applied state; number 0 when there is none.
@@ -772,6 +801,7 @@
         if (this->registry.tick(now))
             this->schedule.onChange();
         this->sendDueViews();
+        this->sendSpeedObservations(now);
         std::erase_if(this->statements, [this](const auto &each) {
             const UpstreamRecord *record = this->registry.find(each.first);
             return record == nullptr || record->startedAtMs > each.second.startedAtMs;
@@ -804,6 +834,7 @@
     std::map<std::string, SlowStartPermits> permits; ///< by upstream, granted in `permitTerm`
     std::uint64_t permitCount{ 0 };
     std::map<std::string, IncarnationStatements> statements; ///< by upstream
+    SpeedObservationMerger speedObservations;
     QuarantineControl quarantineControl;
     std::uint64_t crashReportCount{ 0 };
 };
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -1,6 +1,5 @@
 #include "upstream_selector.h"
 
-#include "engine_model.h"
 #include "slow_start_permits.h"
 
 #include <algorithm>
@@ -237,11 +236,7 @@
     const bool isPlain = query.plan == nullptr || !query.plan->engine;
     const FloatMilliseconds spread =
             isPlain ? kPlainCostSpread : FloatMilliseconds(this->options.costSpread);
-    const auto lowestCost = std::ranges::min(candidates, {}, &Candidate::cost).cost;
-    for (Candidate &candidate : candidates) {
-        const double relativeExcessCost = (candidate.cost - lowestCost) / spread;
-        candidate.weight = std::exp(-relativeExcessCost);
-    }
+    this->setWeights(candidates, spread);
     const Candidate &selected = this->drawByWeight(candidates);
     Upstream &upstream = *selected.upstream;
     // Without a limit in the plan, the gateway opens at most 256 connections to the upstream.
@@ -257,6 +252,8 @@
                 connectionLimit > 0 ? std::max(1U, static_cast<std::uint32_t>(gatewayShare)) : 256,
         .keepsConnection = connectionLimit <= 0 || gatewayShare >= 1,
         .expectedFirstToken = std::chrono::ceil<Milliseconds>(selected.expectedFirstToken),
+        .comparableFirstToken =
+                isPlain ? std::nullopt : this->comparableFirstToken(upstream, query, now),
         .load = selected.load,
         .noticeAge = upstream.hasNotice
                              ? std::chrono::floor<Milliseconds>(now - upstream.noticeReceivedAt)
@@ -366,6 +363,39 @@
                                                           TimePoint now) const
 {
     const EngineModel model(*query.plan->engine);
+    const EngineLoad load = this->engineLoad(id, upstream, now);
+    FloatMilliseconds expectedFirstToken = model.timeToFirstToken(load, query.promptTokens);
+    FloatMilliseconds speedCost(0);
+    const double speed = this->speedOf(id);
+    if (speed < 1)
+        speedCost = model.timeToFirstToken({ .active = load.active / speed,
+                                             .queued = load.queued / speed,
+                                             .promptTokens = load.promptTokens / speed,
+                                             .slowdownFactor = load.slowdownFactor },
+                                           query.promptTokens)
+                    - expectedFirstToken;
+    if (upstream.path.roundTrip > kNormalRoundTrip)
+        expectedFirstToken += upstream.path.roundTrip;
+    if (upstream.record.isSilent)
+        expectedFirstToken += kSilentPenalty;
+    const bool isCrossZone = upstream.record.zone != this->options.zone;
+    // Without a link to the stager the path is unknown. Repeated loss of the link indicates
+    // a congested or broken path.
+    const Milliseconds penalty = (isCrossZone ? this->options.crossZonePenalty : 0ms)
+                                 + (upstream.path.hasLink ? 0ms : kUnknownPathPenalty);
+    return { .id = &id,
+             .upstream = &upstream,
+             .load = load.active + load.queued,
+             .expectedFirstToken = expectedFirstToken,
+             .cost = expectedFirstToken + FloatMilliseconds(penalty),
+             .speed = speed,
+             .speedCost = speedCost };
+}
+
+/// Load of an engine, as this gateway knows it.
+EngineLoad UpstreamSelector::engineLoad(const std::string &id, const Upstream &upstream,
+                                        TimePoint now) const
+{
     // Without a fresh load notice, all gateways are assumed to have as many requests in flight at
     // the engine as this gateway.
     EngineLoad load{ .active = static_cast<double>(upstream.inFlight) * this->gatewayCount };
@@ -385,21 +415,29 @@
         }
     }
     load.queued += this->outlierDetector.penalty(id, now);
-    FloatMilliseconds expectedFirstToken = model.timeToFirstToken(load, query.promptTokens);
-    if (upstream.path.roundTrip > kNormalRoundTrip)
-        expectedFirstToken += upstream.path.roundTrip;
-    if (upstream.record.isSilent)
-        expectedFirstToken += kSilentPenalty;
-    const bool isCrossZone = upstream.record.zone != this->options.zone;
-    // Without a link to the stager the path is unknown. Repeated loss of the link indicates
-    // a congested or broken path.
-    const Milliseconds penalty = (isCrossZone ? this->options.crossZonePenalty : 0ms)
-                                 + (upstream.path.hasLink ? 0ms : kUnknownPathPenalty);
-    return { .id = &id,
-             .upstream = &upstream,
-             .load = load.active + load.queued,
-             .expectedFirstToken = expectedFirstToken,
-             .cost = expectedFirstToken + FloatMilliseconds(penalty) };
+    return load;
+}
+
+/// The prediction includes the round trip, so that a distant engine isn't taken for a slow one.
+std::optional<FloatMilliseconds> UpstreamSelector::comparableFirstToken(const Upstream &upstream,
+                                                                        const SelectionQuery &query,
+                                                                        TimePoint now) const
+{
+    const EngineModel model(*query.plan->engine);
+    const EngineLoad load = this->engineLoad(upstream.record.id, upstream, now);
+    const FloatMilliseconds wait = model.slotWaitTime(load);
+    const FloatMilliseconds total = model.timeToFirstToken(load, query.promptTokens);
+    if (!this->hasFreshNotice(upstream, now) || wait > total / 2)
+        return std::nullopt;
+    return total + FloatMilliseconds(upstream.path.roundTrip);
+}
+
+/// Estimated speed of an upstream, 1 without estimates.
+double UpstreamSelector::speedOf(const std::string &id) const
+{
+    if (this->speeds == nullptr)
+        return 1;
+    return std::clamp(this->speeds->speed(id), ServerSpeeds::kMinSpeed, 1.0);
 }
 
 /// Upstreams of plain services send no load notices, so their load is estimated as the number of
@@ -410,6 +448,15 @@
 {
     const double load = upstream.inFlight + this->outlierDetector.penalty(id, now);
     FloatMilliseconds expectedFirstToken = load * kPlainRequestCost;
+    FloatMilliseconds speedCost(0);
+    const double speed = this->speedOf(id);
+    if (this->speeds != nullptr) {
+        // Requests beyond this gateway's part of the comfortable load only wait and count twice.
+        const double comfortable =
+                std::max(1.0, this->speeds->comfortableLoad(id) / this->gatewayCount);
+        const double waiting = std::max(0.0, load - comfortable);
+        speedCost = ((load + waiting) / speed - load) * kPlainRequestCost;
+    }
     if (upstream.record.zone != this->options.zone)
         expectedFirstToken += this->options.plainCrossZonePenalty;
     if (upstream.record.isSilent)
@@ -418,7 +465,41 @@
              .upstream = &upstream,
              .load = load,
              .expectedFirstToken = expectedFirstToken,
-             .cost = expectedFirstToken };
+             .cost = expectedFirstToken,
+             .speed = speed,
+             .speedCost = speedCost };
+}
+
+/// Sets the weight of each candidate. An upstream keeps the share `probingFloor` of the weight that
+/// it would have without speeds.
+void UpstreamSelector::setWeights(std::vector<Candidate> &candidates,
+                                  FloatMilliseconds spread) const
+{
+    const auto lowestCost = std::ranges::min(candidates, {}, &Candidate::cost).cost;
+    for (Candidate &candidate : candidates)
+        candidate.weight = std::exp(-((candidate.cost - lowestCost) / spread));
+    if (std::ranges::all_of(candidates, [](const Candidate &each) {
+            return each.speed >= 1 && each.speedCost.count() <= 0;
+        }))
+        return;
+    const auto fullCost = [](const Candidate &each) { return each.cost + each.speedCost; };
+    const auto lowestFullCost = std::ranges::min(candidates, {}, fullCost);
+    double sumWithout = 0;
+    double sumWith = 0;
+    std::vector<double> weights;
+    for (const Candidate &candidate : candidates) {
+        const double excess = (fullCost(candidate) - fullCost(lowestFullCost)) / spread;
+        // The factor makes shares proportional where each of many gateways has hardly a request at
+        // an upstream, so that its own load tells nothing.
+        weights.push_back(candidate.speed * std::exp(-excess));
+        sumWithout += candidate.weight;
+        sumWith += weights.back();
+    }
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const double shareWithout = candidates[i].weight / sumWithout;
+        candidates[i].weight =
+                std::max(weights[i] / sumWith, this->options.probingFloor * shareWithout);
+    }
 }
 
 const UpstreamSelector::Candidate &
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "engine_model.h"
 #include "outlier.h"
+#include "server_speed.h"
 #include "serving_plan.h"
 #include "upstream_statements.h"
 #include "version_deadlines.h"
@@ -30,6 +32,9 @@
     Milliseconds plainCrossZonePenalty{ 6ms };
     /// Cost difference that lowers the probability of a selection by a factor of e.
     Milliseconds costSpread{ 40ms };
+    /// Share of its requests that an upstream keeps however slow it is, compared with a selection
+    /// that knows no speeds. Its answers show when it has become faster.
+    double probingFloor{ 0.1 };
 };
 
 /// State of the network path to an engine's machine, measured on the link (connection) to the
@@ -89,7 +94,11 @@
     /// gateways.
     bool keepsConnection{ true };
     Milliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
-    double load{ 0 };                     ///< estimated number of requests at the upstream
+    /// Predicted time to the first token of an engine to compare with the measured time, see
+    /// `SpeedAnswer::expected`. Empty for plain services, and when most of the time is expected to
+    /// pass in the engine's queue, so that it says little of the engine's speed.
+    std::optional<FloatMilliseconds> comparableFirstToken;
+    double load{ 0 }; ///< estimated number of requests at the upstream
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
@@ -138,6 +147,12 @@
     /// Sets the number of gateways that share the upstreams.
     void setGatewayCount(std::uint32_t count) { this->gatewayCount = std::max(1U, count); }
 
+    /// Sets the estimates of the upstreams' speeds; null: all upstreams count as equally fast. An
+    /// upstream's load counts in proportion to the time that it takes there, which changes only
+    /// the draw: limits, permits and the check against `firstTokenLimit` are as without speeds.
+    /// Precondition: `speeds` outlives the selector.
+    void setSpeeds(const ServerSpeeds *newSpeeds) { this->speeds = newSpeeds; }
+
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
     /// before the request starts, if it has said
@@ -199,7 +214,9 @@
         double load{ 0 };                          ///< estimated number of requests at the upstream
         FloatMilliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
         FloatMilliseconds cost{ 0 }; ///< `expectedFirstToken` plus the penalties for zone and path
-        double weight{ 0 };          ///< relative probability of being selected
+        double speed{ 1 };           ///< estimated speed of the upstream
+        FloatMilliseconds speedCost{ 0 }; ///< addition to `cost` because of the upstream's speed
+        double weight{ 0 };               ///< relative probability of being selected
     };
 
     bool takeEndpoint(const UpstreamRecord &record);
@@ -217,6 +234,12 @@
                           TimePoint now) const;
     Candidate scorePlain(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                          TimePoint now) const;
+    std::optional<FloatMilliseconds> comparableFirstToken(const Upstream &upstream,
+                                                          const SelectionQuery &query,
+                                                          TimePoint now) const;
+    EngineLoad engineLoad(const std::string &id, const Upstream &upstream, TimePoint now) const;
+    double speedOf(const std::string &id) const;
+    void setWeights(std::vector<Candidate> &candidates, FloatMilliseconds spread) const;
     const Candidate &drawByWeight(const std::vector<Candidate> &candidates);
 
     SelectorOptions options;
@@ -226,6 +249,7 @@
     std::set<std::string> zonesOut;
     std::uint32_t gatewayCount{ 1 };
     OutlierDetector outlierDetector;
+    const ServerSpeeds *speeds{ nullptr };
 };
 
 } // namespace egret
