--- a/src/server_speed.cpp
+++ b/src/server_speed.cpp
@@ -129,8 +129,10 @@
         return;
     Upstream &upstream = found->second;
     const FloatMilliseconds othersAge = now - upstream.othersAt;
-    const double inFlight =
-            answer.inFlight + upstream.othersInFlight * std::exp(-othersAge / kOthersWindow);
+    // The load of an engine comes from its notices, which count the requests of all gateways.
+    const double others =
+            answer.expected ? 0 : upstream.othersInFlight * std::exp(-othersAge / kOthersWindow);
+    const double inFlight = answer.inFlight + others;
     const double expected =
             answer.expected ? answer.expected->count() : slotsFactor(inFlight, upstream.slots);
     const auto observation =
--- a/src/server_speed.h
+++ b/src/server_speed.h
@@ -39,7 +39,9 @@
     /// sending. Empty for upstreams of plain services, which have no model.
     std::optional<FloatMilliseconds> expected;
     FloatMilliseconds measured{ 0 }; ///< of an engine to the first event, otherwise to the answer
-    double inFlight{ 1 }; ///< requests at the upstream at the time of sending, with this one
+    /// Requests at the upstream at the time of sending, with this one: at an engine all, otherwise
+    /// those of this gateway.
+    double inFlight{ 1 };
 };
 
 /// Speed of an upstream, for metrics.
--- a/src/speed_observations.cpp
+++ b/src/speed_observations.cpp
@@ -14,10 +14,9 @@
 constexpr double kMaxConcurrency = 1e5;
 constexpr double kMaxBusyMs = 1e9;
 constexpr std::uint32_t kMaxCount = 100000;
-/// Bounds on what a registry holds: 1,200 upstreams with 8 routes each, from 128 gateways for each
-/// of them.
-constexpr std::size_t kMaxPending = 9600;
-constexpr std::size_t kMaxGateways = 128;
+/// Bound on the sums that a registry holds, of about 250 bytes each. 100 gateways with 11 answers a
+/// second make about 11,000 until each of 1,200 upstreams has had its turn.
+constexpr std::size_t kMaxPending = 40000;
 
 SpeedObservation sumOf(const std::map<std::string, SpeedObservation> &byGateway)
 {
@@ -93,17 +92,20 @@
         if (!observation || startOf(observation->upstream) != observation->startedAtMs)
             continue;
         const Key key(observation->upstream, observation->kind);
-        if (!this->pending.contains(key) && this->pending.size() >= kMaxPending)
-            continue;
+        if (this->sumCount >= kMaxPending)
+            return;
         auto &byGateway = this->pending[key];
         // Sums of an earlier incarnation are worth nothing.
-        if (!byGateway.empty() && byGateway.begin()->second.startedAtMs != observation->startedAtMs)
+        if (!byGateway.empty()
+            && byGateway.begin()->second.startedAtMs != observation->startedAtMs) {
+            this->sumCount -= byGateway.size();
             byGateway.clear();
+        }
         const auto known = byGateway.find(message.gateway);
         if (known != byGateway.end())
             known->second = *clampedObservation(addedObservations(known->second, *observation));
-        else if (byGateway.size() < kMaxGateways)
-            byGateway.emplace(message.gateway, *observation);
+        else
+            this->sumCount += byGateway.emplace(message.gateway, *observation).second ? 1 : 0;
     }
 }
 
@@ -129,6 +131,7 @@
                 messages[receiver].observations.push_back(sum);
         }
         this->lastTaken = next->first;
+        this->sumCount -= next->second.size();
         next = this->pending.erase(next);
     }
     return messages;
--- a/src/speed_observations.h
+++ b/src/speed_observations.h
@@ -42,13 +42,14 @@
     std::map<std::string, SpeedObservations> take(const std::vector<std::string> &gateways,
                                                   TimePoint now);
 
-    /// Number of sums that have not been sent yet.
-    std::size_t size() const { return this->pending.size(); }
+    /// Number of gateways' sums that have not been sent yet.
+    std::size_t size() const { return this->sumCount; }
 
 private:
     using Key = std::pair<std::string, std::uint64_t>; ///< upstream and kind
 
     std::map<Key, std::map<std::string, SpeedObservation>> pending; ///< by gateway
+    std::size_t sumCount{ 0 }; ///< entries of all maps in `pending`
     Key lastTaken;
     std::optional<TimePoint> takenAt;
 };
