Merge the speeds of upstreams

The selection applies a speed below 1 to the wait and to what each further request adds to it, so that the spread over engines gives a slow one its share; the probing floor stays.

--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace egret {
 
@@ -297,6 +298,8 @@
                 connectionLimit > 0 ? std::max(1U, static_cast<std::uint32_t>(gatewayShare)) : 256,
         .keepsConnection = connectionLimit <= 0 || gatewayShare >= 1,
         .expectedFirstToken = std::chrono::ceil<Milliseconds>(selected.expectedFirstToken),
+        .comparableFirstToken =
+                !isEngineService ? std::nullopt : this->comparableFirstToken(upstream, query, now),
         .load = selected.load,
         .noticeAge = upstream.hasNotice
                              ? std::chrono::floor<Milliseconds>(now - upstream.noticeReceivedAt)
@@ -347,23 +350,32 @@
 void UpstreamSelector::weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
                                     TimePoint now) const
 {
-    std::vector<SpreadTarget> targets;
-    targets.reserve(candidates.size());
-    for (const Candidate &candidate : candidates)
-        targets.push_back(candidate.target);
     const auto rates = this->ratesByService.find(query.service);
     const double sentInWindow =
             rates == this->ratesByService.end()
                     ? 0.0
                     : rates->second.sent.perSecond(now)
                               * std::chrono::duration<double>(kNoticeWindow).count();
-    const std::vector<double> weights =
-            spreadWeights(targets,
-                          { .ofZone = sentInWindow * this->gatewaysOfZone(),
-                            .ofAll = sentInWindow * this->gatewayCount },
-                          this->options.crossZonePenalty);
+    const SpreadDemand demand{ .ofZone = sentInWindow * this->gatewaysOfZone(),
+                               .ofAll = sentInWindow * this->gatewayCount };
+    const auto sharesOf = [&](SpreadTarget Candidate::*target) {
+        std::vector<SpreadTarget> targets;
+        targets.reserve(candidates.size());
+        for (const Candidate &candidate : candidates)
+            targets.push_back(candidate.*target);
+        std::vector<double> weights =
+                spreadWeights(targets, demand, this->options.crossZonePenalty);
+        const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+        for (double &weight : weights)
+            weight /= sum;
+        return weights;
+    };
+    const std::vector<double> shares = sharesOf(&Candidate::target);
+    const bool isEven =
+            std::ranges::all_of(candidates, [](const Candidate &each) { return each.speed >= 1; });
+    const std::vector<double> evenShares = isEven ? shares : sharesOf(&Candidate::evenTarget);
     for (std::size_t i = 0; i < candidates.size(); ++i)
-        candidates[i].weight = weights[i];
+        candidates[i].weight = std::max(shares[i], this->options.probingFloor * evenShares[i]);
 }
 
 /// The weight of an upstream of a plain service decreases exponentially with the difference
@@ -371,9 +383,29 @@
 void UpstreamSelector::weighPlain(std::vector<Candidate> &candidates) const
 {
     const auto lowestCost = std::ranges::min(candidates, {}, &Candidate::cost).cost;
-    for (Candidate &candidate : candidates) {
-        const double relativeExcessCost = (candidate.cost - lowestCost) / kPlainCostSpread;
-        candidate.weight = std::exp(-relativeExcessCost);
+    for (Candidate &candidate : candidates)
+        candidate.weight = std::exp(-((candidate.cost - lowestCost) / kPlainCostSpread));
+    if (std::ranges::all_of(candidates, [](const Candidate &each) {
+            return each.speed >= 1 && each.speedCost.count() <= 0;
+        }))
+        return;
+    const auto fullCost = [](const Candidate &each) { return each.cost + each.speedCost; };
+    const auto lowestFullCost = std::ranges::min(candidates, {}, fullCost);
+    double sumWithout = 0;
+    double sumWith = 0;
+    std::vector<double> weights;
+    for (const Candidate &candidate : candidates) {
+        const double excess = (fullCost(candidate) - fullCost(lowestFullCost)) / kPlainCostSpread;
+        // The factor makes shares proportional where each of many gateways has hardly a request at
+        // an upstream, so that its own load tells nothing.
+        weights.push_back(candidate.speed * std::exp(-excess));
+        sumWithout += candidate.weight;
+        sumWith += weights.back();
+    }
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const double shareWithout = candidates[i].weight / sumWithout;
+        candidates[i].weight =
+                std::max(weights[i] / sumWith, this->options.probingFloor * shareWithout);
     }
 }
 
@@ -548,26 +580,68 @@
     const FloatMilliseconds slownessPenalty = kSlownessPenalty * (load.slowdownFactor - 1);
     const FloatMilliseconds cost =
             expectedFirstToken + FloatMilliseconds(penalty) + pausePenalty + slownessPenalty;
-    const EngineSpec &spec = *query.plan->engine;
+    const double speed = this->speedOf(id);
+    EngineLoad slowedLoad = load;
+    slowedLoad.slowdownFactor /= speed;
+    const FloatMilliseconds speedCost = model.timeToFirstToken(slowedLoad, query.promptTokens)
+                                        - model.timeToFirstToken(load, query.promptTokens);
+    const SpreadTarget target = this->spreadTarget(
+            model, *query.plan->engine, load,
+            cost - FloatMilliseconds(isCrossZone ? this->options.crossZonePenalty : 0ms),
+            !isCrossZone);
+    SpreadTarget slowedTarget = target;
+    slowedTarget.wait += speedCost;
+    slowedTarget.waitPerStart /= speed;
+    slowedTarget.waitPerQueued /= speed;
+    return { .id = &id,
+             .upstream = &upstream,
+             .load = load.active + load.queued,
+             .expectedFirstToken = expectedFirstToken,
+             .cost = cost,
+             .speed = speed,
+             .speedCost = speedCost,
+             .target = slowedTarget,
+             .evenTarget = target,
+             .longestPause = longestPause,
+             .hasMemory = this->hasMemory(upstream, query, now) };
+}
+
+/// The engine for `spreadWeights`. `wait`: predicted time to the first token with the penalties
+/// other than that for another zone.
+SpreadTarget UpstreamSelector::spreadTarget(const EngineModel &model, const EngineSpec &spec,
+                                            const EngineLoad &load, FloatMilliseconds wait,
+                                            bool isLocal)
+{
     const RequestCost typical{ .promptTokens = spec.typicalPromptTokens };
-    return {
-        .id = &id,
-        .upstream = &upstream,
-        .load = load.active + load.queued,
-        .expectedFirstToken = expectedFirstToken,
-        .cost = cost,
-        .target = { .wait = cost
-                            - FloatMilliseconds(isCrossZone ? this->options.crossZonePenalty : 0ms),
-                    .freeSlots = std::max(0.0, spec.slots - load.active - load.queued),
-                    .waitPerStart =
-                            std::max(kMinWaitPerRequest,
-                                     model.prefillTime(typical.promptTokens) * load.slowdownFactor),
-                    .waitPerQueued = std::max(kMinWaitPerRequest,
-                                              model.engineTime(typical) * load.slowdownFactor),
-                    .isLocal = !isCrossZone },
-        .longestPause = longestPause,
-        .hasMemory = this->hasMemory(upstream, query, now)
-    };
+    return { .wait = wait,
+             .freeSlots = std::max(0.0, spec.slots - load.active - load.queued),
+             .waitPerStart = std::max(kMinWaitPerRequest, model.prefillTime(typical.promptTokens)
+                                                                  * load.slowdownFactor),
+             .waitPerQueued =
+                     std::max(kMinWaitPerRequest, model.engineTime(typical) * load.slowdownFactor),
+             .isLocal = isLocal };
+}
+
+/// The prediction includes the round trip, so that a distant engine isn't taken for a slow one.
+std::optional<FloatMilliseconds> UpstreamSelector::comparableFirstToken(const Upstream &upstream,
+                                                                        const SelectionQuery &query,
+                                                                        TimePoint now) const
+{
+    const EngineModel model(*query.plan->engine);
+    const EngineLoad load = this->engineLoad(model, *query.plan->engine, upstream, now);
+    const FloatMilliseconds wait = model.slotWaitTime(load);
+    const FloatMilliseconds total = model.timeToFirstToken(load, query.promptTokens);
+    if (!this->hasFreshNotice(upstream, now) || wait > total / 2)
+        return std::nullopt;
+    return total + FloatMilliseconds(upstream.path.roundTrip);
+}
+
+/// Estimated speed of an upstream, 1 without estimates.
+double UpstreamSelector::speedOf(const std::string &id) const
+{
+    if (this->speeds == nullptr)
+        return 1;
+    return std::clamp(this->speeds->speed(id), ServerSpeeds::kMinSpeed, 1.0);
 }
 
 /// Upstreams of plain services send no load notices, so their load is estimated as the number of
@@ -578,6 +652,15 @@
 {
     const double load = upstream.inFlight + this->outlierDetector.penalty(id, now);
     FloatMilliseconds expectedFirstToken = load * kPlainRequestCost;
+    FloatMilliseconds speedCost(0);
+    const double speed = this->speedOf(id);
+    if (this->speeds != nullptr) {
+        // Requests beyond this gateway's part of the comfortable load only wait and count twice.
+        const double comfortable =
+                std::max(1.0, this->speeds->comfortableLoad(id) / this->gatewayCount);
+        const double waiting = std::max(0.0, load - comfortable);
+        speedCost = ((load + waiting) / speed - load) * kPlainRequestCost;
+    }
     if (upstream.record.zone != this->options.zone)
         expectedFirstToken += this->options.plainCrossZonePenalty;
     if (upstream.record.isSilent)
@@ -586,7 +669,9 @@
              .upstream = &upstream,
              .load = load,
              .expectedFirstToken = expectedFirstToken,
-             .cost = expectedFirstToken };
+             .cost = expectedFirstToken,
+             .speed = speed,
+             .speedCost = speedCost };
 }
 
 const UpstreamSelector::Candidate &
--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -97,3 +97,24 @@
     EXPECT_EQ(settings->admission.floor, defaults.floor);
     EXPECT_EQ(overloadOptionsError(defaults), "");
 }
+
+// Guards against settings of speeds that no estimate can work with, and against deployments
+// without these settings that no longer start.
+TEST(NodeSettingsTemplate, ServerSpeedsAreOnByDefaultAndValidated)
+{
+    const auto settings = read({});
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->serverSpeeds.enabled);
+    const auto accepts = [](const std::string &text) {
+        JsonProblem problem;
+        JsonReader reader;
+        ServerSpeedSettings speeds;
+        return reader.read(*parseJson(text, problem), speeds);
+    };
+    EXPECT_TRUE(accepts(R"({ "enabled": false, "probingFloorPercent": 20 })"));
+    EXPECT_FALSE(accepts(R"({ "probingFloorPercent": 0 })"));
+    EXPECT_FALSE(accepts(R"({ "deadbandPercent": 51 })"));
+    EXPECT_FALSE(accepts(R"({ "windowAnswers": 9 })"));
+    EXPECT_FALSE(accepts(R"({ "halfLife": 10 })"));
+    EXPECT_FALSE(accepts(R"({ "maxStepPercent": 0 })"));
+}
