Divide a budget of bytes between the clients of a process

Cause: HttpFrontend compared the buffered bodies with its limit only when a head arrived, so bodies that were being received passed it; buffers doubled beyond the legal size; the gateway copied each body for the HTTP pool; every connection read as fast as it could, so that links got one turn for each turn of the whole crowd; connections left no descriptors for upstreams.

Change: RequestMemory counts what a server holds for its clients, by capacity. A body over 64 KiB reserves its whole size before it is read on, and waits unread if the reservation doesn't fit. Clients without progress give way first, then those of the address that holds most. Connections are read in turns of at most 64 KiB together, behind all other handlers. The limits follow from the new settings memoryMb and fileDescriptors. A running request's body exists once.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -18,6 +18,7 @@
 #include "registry_node.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
+#include "request_memory.h"
 #include "slow_start_permits.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
@@ -174,6 +175,14 @@
     std::uint64_t closedAfterBegin{ 0 };
 };
 
+HttpFrontendOptions frontendOptions(const NodeSettings &settings)
+{
+    const ClientLimits limits = clientLimits(settings.memoryMb, settings.fileDescriptors);
+    return { .listen = *Endpoint::parse(settings.clientAddress),
+             .maxConnections = limits.maxConnections,
+             .maxBufferedBytes = limits.maxBytes };
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -211,7 +220,7 @@
           pieceRelay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kMillisecondsPerSecond
                                      * kPieceRelayLinkShare }),
           upstreamCalls(this->pool.context()),
-          frontend(this->pool.context(), { .listen = *Endpoint::parse(settings.clientAddress) },
+          frontend(this->pool.context(), frontendOptions(settings),
                    [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
                        this->handle(std::move(request), reply);
                    })
@@ -290,6 +299,7 @@
         const auto appendMetric = [&text](const std::string &name, std::uint64_t value) {
             text += "egret_" + name + " " + std::to_string(value) + "\n";
         };
+        text += this->frontend.metricsText("client");
         for (const auto &[outcome, count] : this->counters.answers)
             appendMetric("answers_total{outcome=\"" + outcome + "\"}", count);
         appendMetric("requests_repeated_total", this->counters.retries);
@@ -831,7 +841,7 @@
         OutboundCall call{
             .to = selection.endpoint,
             .head = this->requestHead(*exchange, selection, now),
-            .body = exchange->request.body,
+            .sharedBody = std::shared_ptr<const std::string>(exchange, &exchange->request.body),
             .isHeadRequest = exchange->request.method == "HEAD",
             .mayRunTwice = exchange->route->kind != RequestKind::once,
             .maxConnections = selection.maxConnections,
--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -2,22 +2,52 @@
 
 #include "clock.h"
 #include "log.h"
+#include "request_memory.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <deque>
+#include <map>
 #include <set>
 
 namespace egret {
 
 namespace {
 
-constexpr std::size_t kReadBytes = 8U << 10U;
+constexpr std::size_t kReadBytes = 16U << 10U;
+/// Bytes that are read from all connections before the other handlers of the context run: about
+/// half a millisecond of parsing in the worst case, chunks of one byte.
+constexpr std::size_t kTurnBytes = 64U << 10U;
+/// Cost of a read in bytes, so that a turn is short also when each connection sends little.
+constexpr std::size_t kReadCost = 2U << 10U;
+/// One of this number of reads is from a connection with a large body while others are readable.
+constexpr std::uint64_t kReadsPerLargeBody = 4;
 /// Reading from a connection pauses while more unparsed bytes than this are buffered.
-constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+/// Buffers beyond this capacity are released when they become empty.
+constexpr std::size_t kMaxIdleCapacity = 4U << 10U;
+/// Memory of a connection besides its buffers: the objects of the connection, its reader and its
+/// socket.
+constexpr std::size_t kConnectionBytes = 3U << 10U;
+/// A body that takes more than this multiple of its size is copied before it is dispatched.
+constexpr std::size_t kMaxSpareFactor = 2;
+/// A client that leaves more than this of its answer unread, and reads no more, gives way when
+/// memory is short. It can hardly be an ordinary one: a streamed answer of 1,000 tokens is smaller.
+constexpr std::size_t kMaxUnreadBytes = 64U << 10U;
+/// Period at which waiting bodies are granted memory that was released.
+constexpr Milliseconds kGrantPeriod = 20ms;
+/// Period within which at most one log line is written for each limit.
+constexpr Milliseconds kLogPeriod = 1s;
+/// Pause after a connection could not be accepted, for example for want of descriptors.
+constexpr Milliseconds kAcceptRetryDelay = 50ms;
+/// Sent with status 503 when memory is short.
+constexpr const char *kRetryAfterSeconds = "1";
 /// Period at which the phase deadlines of all connections are checked.
 constexpr Milliseconds kDeadlineCheckPeriod = 250ms;
 /// Limit from the end of a request's head to the end of its body.
@@ -35,17 +65,152 @@
     closed,
 };
 
+class Connection;
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/// Limits on clients; each has a counter and at most one log line per kLogPeriod.
+enum class ClientLimit : std::uint8_t { memory, memoryWait, connections, accept, invalid };
+constexpr std::array<const char *, 5> kLimitNames = { "memory", "memory-wait", "connections",
+                                                      "accept", "invalid-request" };
+
 /// State that the server shares with its connections.
-struct SharedState
+class SharedState : public std::enable_shared_from_this<SharedState>
 {
+public:
+    SharedState(asio::io_context &context, HttpFrontendOptions &&options,
+                HttpFrontendHandler &&handler)
+        : options(std::move(options)), handler(std::move(handler)),
+          memory({ .maxBytes = this->options.maxBufferedBytes }), context(context),
+          grantTimer(context)
+    {}
+
+    /// Reads from `connection`, which is readable, in one of the next turns.
+    void enqueue(const ConnectionPtr &connection, bool hasLargeBody)
+    {
+        (hasLargeBody ? this->largeBodies : this->readable).push_back(connection);
+        this->scheduleTurn();
+    }
+
+    /// Carries out what the memory's holders must do.
+    void updateMemory();
+
+    /// Updates the memory every kGrantPeriod until no connection waits for memory.
+    void grantSoon()
+    {
+        if (std::exchange(this->isGrantScheduled, true))
+            return;
+        this->grantTimer.expires_after(kGrantPeriod);
+        this->grantTimer.async_wait([weak = this->weak_from_this()](const std::error_code &error) {
+            const auto self = weak.lock();
+            if (error || !self)
+                return;
+            self->isGrantScheduled = false;
+            self->updateMemory();
+            if (self->memory.hasWaiters())
+                self->grantSoon();
+        });
+    }
+
+    /// Counts a client that a limit met; writes a log line unless one was written recently.
+    void onLimit(ClientLimit limit, int status = 0, const char *fault = "none")
+    {
+        LimitLog &log = this->logs[static_cast<std::size_t>(limit)];
+        ++log.count;
+        const TimePoint now = bootNow();
+        if (now < log.nextLineAt)
+            return;
+        logInfo(limit == ClientLimit::invalid ? "request rejected before dispatch"
+                                              : "client met a limit",
+                { { "limit", kLimitNames[static_cast<std::size_t>(limit)] },
+                  { "status", status },
+                  { "fault", fault },
+                  { "count", log.count - log.countInLog },
+                  { "bytesHeld", this->memory.totalBytes() },
+                  { "connections", this->openCount } });
+        log.countInLog = log.count;
+        log.nextLineAt = now + kLogPeriod;
+    }
+
+    std::string metricsText(const std::string &port) const
+    {
+        std::string text;
+        const auto append = [&](const std::string &name, const std::string &label,
+                                std::uint64_t value) {
+            text += "egret_client_" + name + "{port=\"" + port + "\"" + label + "} "
+                    + std::to_string(value) + "\n";
+        };
+        for (std::size_t i = 0; i < this->logs.size(); ++i)
+            append("limits_met_total", std::string(",limit=\"") + kLimitNames[i] + "\"",
+                   this->logs[i].count);
+        append("bytes_held", "", this->memory.totalBytes());
+        append("connections", "", this->openCount);
+        return text;
+    }
+
+    /// Stops all timers and turns.
+    void stop()
+    {
+        this->isStopped = true;
+        this->grantTimer.cancel();
+        this->readable.clear();
+        this->largeBodies.clear();
+    }
+
     HttpFrontendOptions options;
     HttpFrontendHandler handler;
     bool isKeepAliveDisabled{ false };
-    std::size_t bufferedBytes{ 0 }; ///< body bytes of all requests not yet answered
+    RequestMemory memory;
+    std::map<RequestMemory::HolderId, std::weak_ptr<Connection>> connectionsByHolder;
+    std::size_t openCount{ 0 }; ///< connections that are not closed
+
+private:
+    struct LimitLog
+    {
+        std::uint64_t count{ 0 };
+        std::uint64_t countInLog{ 0 }; ///< `count` at the last log line
+        TimePoint nextLineAt;
+    };
+
+    /// Posts a turn behind all handlers that are ready, so that links and timers run in between.
+    void scheduleTurn()
+    {
+        if (this->isStopped || std::exchange(this->isTurnScheduled, true))
+            return;
+        asio::post(this->context, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->takeTurn();
+        });
+    }
+
+    void takeTurn();
+
+    asio::io_context &context;
+    asio::steady_timer grantTimer;
+    std::array<char, kReadBytes> input{};  ///< for one read at a time, of any connection
+    std::deque<ConnectionPtr> readable;    ///< without those in `largeBodies`
+    std::deque<ConnectionPtr> largeBodies; ///< readable connections with a large body
+    std::uint64_t readCount{ 0 };
+    bool isTurnScheduled{ false };
+    bool isGrantScheduled{ false };
+    bool isStopped{ false };
+    std::array<LimitLog, kLimitNames.size()> logs;
 };
 
-class Connection;
-using ConnectionPtr = std::shared_ptr<Connection>;
+/// Counts a request's memory until it is destroyed.
+class RequestLease
+{
+public:
+    RequestLease(std::shared_ptr<SharedState> shared, RequestMemory::HolderId holder)
+        : shared(std::move(shared)), holder(holder)
+    {}
+    ~RequestLease() { this->shared->memory.remove(this->holder); }
+    RequestLease(const RequestLease &) = delete;
+    RequestLease &operator=(const RequestLease &) = delete;
+
+private:
+    std::shared_ptr<SharedState> shared;
+    RequestMemory::HolderId holder;
+};
 
 /// One client connection.
 class Connection : public std::enable_shared_from_this<Connection>
@@ -60,6 +225,11 @@
     {
         std::error_code ignored;
         this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        this->socket.non_blocking(true, ignored);
+        const auto peer = this->socket.remote_endpoint(ignored);
+        this->peerAddress = ignored ? std::string() : peer.address().to_string();
+        ++this->shared->openCount;
+        this->addHolder();
         this->enterPhase(Phase::idle);
         this->scheduleRead();
     }
@@ -80,7 +250,9 @@
 
     void checkDeadline(TimePoint now)
     {
-        if (now < this->phaseDeadline || this->phase == Phase::serving)
+        if (this->phase == Phase::serving)
+            this->scheduleRead(); // reading may have paused while memory was short
+        if (now < this->phaseDeadline || this->phase == Phase::serving || this->waitsForMemory)
             return;
         if (this->phase == Phase::head || this->phase == Phase::body)
             this->rejectRequest(408);
@@ -94,13 +266,55 @@
             return;
         const bool wasServing = this->phase == Phase::serving;
         this->enterPhase(Phase::closed);
-        this->releaseBody();
+        --this->shared->openCount;
+        this->removeHolder();
+        this->body = {};
+        this->unparsedInput = {};
         std::error_code ignored;
         this->socket.close(ignored);
         if (wasServing && this->disconnectHandler)
             std::exchange(this->disconnectHandler, nullptr)();
     }
 
+    /// Reads once into `buffer` and parses. Returns the cost of the read in bytes.
+    std::size_t readOnce(std::array<char, kReadBytes> &buffer)
+    {
+        this->readInFlight = false;
+        if (this->phase == Phase::closed)
+            return 0;
+        std::error_code error;
+        const std::size_t size = this->socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block || error == asio::error::try_again)
+            this->scheduleRead();
+        else
+            this->onRead(error, std::string_view(buffer.data(), size));
+        return size + kReadCost;
+    }
+
+    /// Goes on reading the body, for which memory has been reserved.
+    void onMemoryGranted()
+    {
+        this->waitsForMemory = false;
+        this->hasReservation = true;
+        this->enterPhase(Phase::body); // the time limit begins anew
+        this->confirmExpectation();
+        this->scheduleRead();
+    }
+
+    /// Gives way to other clients. The holder of this connection has been removed. A request that
+    /// has begun to arrive is refused; any other connection is closed.
+    void giveWay(ClientLimit limit)
+    {
+        const bool isReceiving = this->phase == Phase::head || this->phase == Phase::body;
+        this->removeHolder();
+        if (!isReceiving) {
+            this->shared->onLimit(limit);
+            return this->close();
+        }
+        this->addHolder();
+        this->rejectRequest(503, limit);
+    }
+
     // ConnectionReply uses the following members; `requestNumber` identifies a request of
     // this connection.
     bool isServing(std::uint64_t requestNumber) const
@@ -157,6 +371,7 @@
             this->queueOutput("0\r\n\r\n");
         this->disconnectHandler = nullptr;
         this->responseEnded = true;
+        this->updateHeldBytes();
         if (this->outputInFlight.empty() && this->queuedOutput.empty())
             this->onResponseWritten();
     }
@@ -173,51 +388,79 @@
         this->phaseDeadline = bootNow() + limit;
     }
 
+    /// Waits until the socket is readable. Reading pauses while the body waits for memory, and
+    /// while a request is served as long as many pipelined bytes are held or memory is short.
     void scheduleRead()
     {
-        if (this->readInFlight || this->phase == Phase::closed
-            || this->unparsedInput.size() > kMaxPipelinedBytes)
+        const bool isPaused = this->waitsForMemory
+                              || this->unparsedInput.size() > kMaxPipelinedBytes
+                              || (this->phase == Phase::serving && this->shared->memory.isShort());
+        if (this->readInFlight || this->phase == Phase::closed || isPaused)
             return;
         this->readInFlight = true;
-        this->socket.async_read_some(
-                asio::buffer(this->input),
-                [self = this->shared_from_this()](const std::error_code &error, std::size_t size) {
-                    self->readInFlight = false;
-                    self->onRead(error, size);
+        this->socket.async_wait(
+                asio::ip::tcp::socket::wait_read,
+                [self = this->shared_from_this()](const std::error_code &error) {
+                    if (error || self->phase == Phase::closed) {
+                        self->readInFlight = false;
+                        return self->close();
+                    }
+                    self->shared->enqueue(self, self->hasReservation && self->phase == Phase::body);
                 });
     }
 
-    void onRead(const std::error_code &error, std::size_t size)
+    void onRead(const std::error_code &error, std::string_view bytes)
     {
-        if (this->phase == Phase::closed)
-            return;
         if (error)
             return this->close();
         if (this->phase == Phase::lingering)
             return this->scheduleRead();
-        this->unparsedInput.append(this->input.data(), size);
-        if (this->phase != Phase::serving)
-            this->parseInput();
+        this->shared->memory.onProgress(this->holder, bytes.size());
+        if (this->phase == Phase::serving || !this->unparsedInput.empty()) {
+            this->unparsedInput.append(bytes);
+            if (this->phase != Phase::serving)
+                this->parseBuffered();
+        } else {
+            const std::size_t consumed = this->parseInput(bytes);
+            if (this->phase != Phase::lingering && this->phase != Phase::closed)
+                this->unparsedInput.append(bytes.substr(std::min(consumed, bytes.size())));
+        }
+        this->updateHeldBytes();
         this->scheduleRead();
     }
 
-    /// Parses the received bytes and dispatches the request once it is complete.
-    void parseInput()
+    /// Parses the bytes in `unparsedInput`.
+    void parseBuffered()
     {
-        if (this->unparsedInput.empty())
-            return;
+        const std::string bytes = std::exchange(this->unparsedInput, {});
+        const std::size_t consumed = this->parseInput(bytes);
+        if (consumed < bytes.size() && this->phase != Phase::closed)
+            this->unparsedInput.insert(0, bytes, consumed);
+    }
+
+    /// Parses received bytes and dispatches the request once it is complete. Returns the number of
+    /// bytes that are no longer needed.
+    std::size_t parseInput(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return 0;
         if (this->phase == Phase::idle) {
             this->reader.reset();
             this->reader.setBounds(this->shared->options.bounds.maxHeadBytes,
                                    this->shared->options.bounds.maxBodyBytes);
+            this->hasReservation = false;
+            this->receivedHeadBytes = 0;
+            this->declaredBytes.reset();
             this->enterPhase(Phase::head);
         }
-        const std::size_t consumed = this->reader.feed(this->unparsedInput);
-        this->unparsedInput.erase(0, consumed);
+        const std::size_t consumed = this->reader.feed(bytes);
+        if (this->phase == Phase::head)
+            this->receivedHeadBytes +=
+                    std::min(consumed, this->shared->options.bounds.maxHeadBytes);
         if (this->phase == Phase::head && this->reader.hasHead()) {
             this->enterPhase(Phase::body);
             if (!this->validateHead())
-                return;
+                return bytes.size();
         }
         if (this->phase == Phase::body)
             this->bufferBody();
@@ -225,14 +468,20 @@
         case HttpFault::none:
             break;
         case HttpFault::headTooLarge:
-            return this->rejectRequest(431);
+            this->rejectRequest(431);
+            return bytes.size();
         case HttpFault::bodyTooLarge:
-            return this->rejectRequest(413);
+            this->rejectRequest(413);
+            return bytes.size();
         default:
-            return this->rejectRequest(400);
+            this->rejectRequest(400);
+            return bytes.size();
         }
         if (this->reader.isComplete())
             this->dispatch();
+        else if (this->phase == Phase::body)
+            this->reserveBody();
+        return consumed;
     }
 
     /// Validates the head and answers `Expect: 100-continue`. Returns false after
@@ -248,47 +497,109 @@
             this->rejectRequest(400);
             return false;
         }
-        if (head.hasBody && this->shared->bufferedBytes > this->shared->options.maxBufferedBytes) {
-            this->rejectRequest(503);
-            return false;
-        }
-        if (head.hasBody && !this->reader.isComplete()
-            && isSameHeaderName(headerValue(head.headers, "Expect"), "100-continue"))
-            this->queueOutput("HTTP/1.1 100 Continue\r\n\r\n");
+        const std::string length = headerValue(head.headers, "Content-Length");
+        std::size_t declared = 0;
+        if (std::from_chars(length.data(), length.data() + length.size(), declared).ec
+            == std::errc())
+            this->declaredBytes = declared;
+        this->expectsContinue =
+                head.hasBody && !this->reader.isComplete()
+                && isSameHeaderName(headerValue(head.headers, "Expect"), "100-continue");
         return true;
     }
 
-    /// Moves the parsed body bytes to `body` and counts them towards maxBufferedBytes.
+    /// Answers `Expect: 100-continue`.
+    void confirmExpectation()
+    {
+        if (std::exchange(this->expectsContinue, false))
+            this->queueOutput("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    /// Reserves memory for the whole body, as soon as it is known to be large, or makes the
+    /// connection wait for it.
+    void reserveBody()
+    {
+        const std::size_t smallBytes = RequestMemoryOptions{}.smallRequestBytes;
+        const bool isLarge = this->declaredBytes ? *this->declaredBytes > smallBytes
+                                                 : this->body.size() + kReadBytes > smallBytes;
+        if (this->hasReservation || !isLarge)
+            return this->confirmExpectation();
+        const std::size_t bytes =
+                this->declaredBytes.value_or(this->shared->options.bounds.maxBodyBytes);
+        if (this->shared->memory.reserve(this->holder, bytes, bootNow()))
+            return this->onMemoryGranted();
+        this->waitsForMemory = true;
+        this->shared->grantSoon();
+    }
+
+    /// Moves the parsed body bytes to `body`. The buffer never grows beyond what is reserved.
     void bufferBody()
     {
         const std::string part = this->reader.takeBody();
+        const std::size_t needed = this->body.size() + part.size();
+        if (needed > this->body.capacity()) {
+            const std::size_t largest =
+                    this->declaredBytes.value_or(this->shared->options.bounds.maxBodyBytes);
+            const std::size_t doubled = std::min(2 * this->body.capacity(), largest);
+            // std::string::reserve would at least double the capacity.
+            std::string grown;
+            grown.reserve(std::max(needed, this->hasReservation && this->declaredBytes ? largest
+                                                                                       : doubled));
+            grown.append(this->body);
+            this->body.swap(grown);
+        }
         this->body += part;
-        this->bodyBytes += part.size();
-        this->shared->bufferedBytes += part.size();
     }
 
-    /// Discards `body` and stops counting its bytes as buffered.
-    void releaseBody()
+    void addHolder()
+    {
+        this->holder = this->shared->memory.add(this->peerAddress, bootNow());
+        this->shared->connectionsByHolder.emplace(this->holder, this->weak_from_this());
+        this->updateHeldBytes();
+    }
+
+    void removeHolder()
     {
-        this->shared->bufferedBytes -= std::exchange(this->bodyBytes, 0);
-        this->body.clear();
+        this->shared->connectionsByHolder.erase(this->holder);
+        this->shared->memory.remove(std::exchange(this->holder, 0));
+    }
+
+    void updateHeldBytes()
+    {
+        if (this->holder == 0)
+            return;
+        this->shared->memory.setBytes(this->holder, kConnectionBytes + this->receivedHeadBytes
+                                                            + this->body.capacity()
+                                                            + this->unparsedInput.capacity()
+                                                            + this->queuedOutput.capacity()
+                                                            + this->outputInFlight.capacity());
+        Protection protection = Protection::none;
+        if (this->phase == Phase::serving)
+            protection = this->responseEnded || this->pendingBytes() > kMaxUnreadBytes
+                                 ? Protection::unlessSlow
+                                 : Protection::full;
+        this->shared->memory.setProtection(this->holder, protection);
     }
 
     /// Passes the complete request to the handler.
     void dispatch();
 
     /// Sends an error status for a request that was not dispatched, then closes the connection.
-    void rejectRequest(int status)
+    void rejectRequest(int status, ClientLimit limit = ClientLimit::invalid)
     {
-        logInfo("request rejected before dispatch",
-                { { "status", status }, { "fault", httpFaultName(this->reader.fault()) } });
+        this->shared->onLimit(limit, status, httpFaultName(this->reader.fault()));
         this->keepsAlive = false;
-        this->unparsedInput.clear();
+        this->waitsForMemory = this->hasReservation = false;
+        this->body = {};
+        this->unparsedInput = {};
+        // Releases the reservation at once.
+        this->removeHolder();
+        this->addHolder();
         this->enterPhase(Phase::serving);
         ++this->requestNumber;
         HttpHeaders headers;
         if (status == 503)
-            headers.emplace_back("Retry-After", "1");
+            headers.emplace_back("Retry-After", kRetryAfterSeconds);
         this->writeHead(status, "", headers, 0);
         this->endResponse();
     }
@@ -297,6 +608,7 @@
     {
         this->queuedOutput.append(bytes);
         this->flush();
+        this->updateHeldBytes();
     }
 
     /// Starts writing the queued output unless a write is in flight.
@@ -308,11 +620,16 @@
         this->outputInFlight.swap(this->queuedOutput);
         asio::async_write(
                 this->socket, asio::buffer(this->outputInFlight),
-                [self = this->shared_from_this()](const std::error_code &error, std::size_t) {
+                [self = this->shared_from_this()](const std::error_code &error, std::size_t size) {
                     self->outputInFlight.clear();
+                    if (self->outputInFlight.capacity() > kMaxIdleCapacity)
+                        self->outputInFlight = {};
                     if (error)
                         return self->close();
+                    if (self->phase != Phase::closed)
+                        self->shared->memory.onProgress(self->holder, size);
                     self->flush();
+                    self->updateHeldBytes();
                     if (self->responseEnded && self->outputInFlight.empty())
                         self->onResponseWritten();
                 });
@@ -323,11 +640,12 @@
         if (this->phase != Phase::serving)
             return;
         this->responseEnded = false;
-        this->releaseBody();
         if (!this->keepsAlive)
             return this->linger();
         this->enterPhase(Phase::idle);
-        this->parseInput();
+        if (!this->unparsedInput.empty())
+            this->parseBuffered();
+        this->updateHeldBytes();
         this->scheduleRead();
     }
 
@@ -339,7 +657,8 @@
         this->enterPhase(Phase::lingering);
         std::error_code ignored;
         this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        this->unparsedInput.clear();
+        this->unparsedInput = {};
+        this->updateHeldBytes();
         this->scheduleRead();
     }
 
@@ -348,11 +667,16 @@
     HttpReader reader;
     Phase phase{ Phase::idle };
     TimePoint phaseDeadline;
-    std::array<char, kReadBytes> input{};
     bool readInFlight{ false };
+    std::string peerAddress;
+    RequestMemory::HolderId holder{ 0 }; ///< 0: closed
     std::string unparsedInput;
     std::string body;
-    std::size_t bodyBytes{ 0 }; ///< this connection's part of SharedState::bufferedBytes
+    std::size_t receivedHeadBytes{ 0 };       ///< size of the request's head as far as received
+    std::optional<std::size_t> declaredBytes; ///< Content-Length of the request
+    bool hasReservation{ false };             ///< memory for the whole body is reserved
+    bool waitsForMemory{ false };             ///< waits for the reservation; nothing is read
+    bool expectsContinue{ false };            ///< 100 Continue has to be sent before the body
     std::string queuedOutput;
     std::string outputInFlight;
     bool isChunked{ false };
@@ -366,8 +690,9 @@
 class ConnectionReply : public AbortableReply
 {
 public:
-    ConnectionReply(ConnectionPtr connection, std::uint64_t requestNumber)
-        : connection(std::move(connection)), requestNumber(requestNumber)
+    ConnectionReply(ConnectionPtr connection, std::uint64_t requestNumber,
+                    std::unique_ptr<RequestLease> lease)
+        : connection(std::move(connection)), requestNumber(requestNumber), lease(std::move(lease))
     {}
     ~ConnectionReply() override
     {
@@ -436,6 +761,7 @@
 
     ConnectionPtr connection;
     std::uint64_t requestNumber;
+    std::unique_ptr<RequestLease> lease; ///< counts the request's memory
     bool isStarted{ false };
     bool isEnded{ false };
 };
@@ -450,11 +776,56 @@
                          .target = head.target,
                          .path = head.target.substr(0, query),
                          .headers = head.headers,
-                         .body = std::move(this->body) };
-    this->body.clear();
-    this->shared->handler(
-            std::move(request),
-            std::make_shared<ConnectionReply>(this->shared_from_this(), ++this->requestNumber));
+                         .body = std::exchange(this->body, {}) };
+    if (request.body.capacity() > kMaxSpareFactor * request.body.size() + kMaxIdleCapacity)
+        request.body.shrink_to_fit();
+    RequestMemory &memory = this->shared->memory;
+    const auto requestHolder = memory.moveToRequest(
+            this->holder, request.body.capacity() + this->receivedHeadBytes, bootNow());
+    this->updateHeldBytes();
+    this->shared->handler(std::move(request),
+                          std::make_shared<ConnectionReply>(
+                                  this->shared_from_this(), ++this->requestNumber,
+                                  std::make_unique<RequestLease>(this->shared, requestHolder)));
+}
+
+void SharedState::updateMemory()
+{
+    const auto changes = this->memory.update(bootNow());
+    const auto connectionOf = [this](RequestMemory::HolderId holder) -> ConnectionPtr {
+        const auto found = this->connectionsByHolder.find(holder);
+        return found == this->connectionsByHolder.end() ? nullptr : found->second.lock();
+    };
+    for (const auto holder : changes.granted) {
+        if (const ConnectionPtr connection = connectionOf(holder))
+            connection->onMemoryGranted();
+    }
+    for (const auto holder : changes.shed) {
+        if (const ConnectionPtr connection = connectionOf(holder))
+            connection->giveWay(ClientLimit::memory);
+    }
+    for (const auto holder : changes.expired) {
+        if (const ConnectionPtr connection = connectionOf(holder))
+            connection->giveWay(ClientLimit::memoryWait);
+    }
+}
+
+void SharedState::takeTurn()
+{
+    this->isTurnScheduled = false;
+    std::size_t cost = 0;
+    while (cost < kTurnBytes && !(this->readable.empty() && this->largeBodies.empty())) {
+        const bool prefersLarge = ++this->readCount % kReadsPerLargeBody == 0;
+        const bool isLarge = this->readable.empty() || (prefersLarge && !this->largeBodies.empty());
+        std::deque<ConnectionPtr> &queue = isLarge ? this->largeBodies : this->readable;
+        const ConnectionPtr connection = std::move(queue.front());
+        queue.pop_front();
+        cost += connection->readOnce(this->input);
+        if (this->memory.isShort())
+            this->updateMemory();
+    }
+    if (!this->readable.empty() || !this->largeBodies.empty())
+        this->scheduleTurn();
 }
 
 } // namespace
@@ -468,12 +839,9 @@
 {
 public:
     Impl(asio::io_context &context, HttpFrontendOptions options, HttpFrontendHandler handler)
-        : context(context), acceptor(context), timer(context),
-          shared(std::make_shared<SharedState>())
-    {
-        this->shared->options = std::move(options);
-        this->shared->handler = std::move(handler);
-    }
+        : acceptor(context), timer(context), acceptTimer(context),
+          shared(std::make_shared<SharedState>(context, std::move(options), std::move(handler)))
+    {}
 
     bool start(Reason<std::error_code> &reason)
     {
@@ -501,6 +869,8 @@
         std::error_code ignored;
         this->acceptor.close(ignored);
         this->timer.cancel();
+        this->acceptTimer.cancel();
+        this->shared->stop();
         this->stopped = true;
         for (const ConnectionPtr &connection : std::exchange(this->connections, {}))
             connection->close();
@@ -528,7 +898,11 @@
                                             asio::ip::tcp::socket socket) {
             if (error == asio::error::operation_aborted || self->stopped)
                 return;
-            if (!error && self->connections.size() < self->shared->options.maxConnections) {
+            if (error) {
+                self->shared->onLimit(ClientLimit::accept);
+                return self->retryAccept();
+            }
+            if (self->makeRoom()) {
                 auto connection = std::make_shared<Connection>(std::move(socket), self->shared);
                 self->connections.insert(connection);
                 connection->start();
@@ -537,6 +911,38 @@
         });
     }
 
+    /// An accept that fails for want of descriptors would fail again at once.
+    void retryAccept()
+    {
+        this->acceptTimer.expires_after(kAcceptRetryDelay);
+        this->acceptTimer.async_wait(
+                [self = this->shared_from_this()](const std::error_code &error) {
+                    if (!error && !self->stopped)
+                        self->scheduleAccept();
+                });
+    }
+
+    /// Makes room for another connection. Returns false when no connection may be closed for it.
+    bool makeRoom()
+    {
+        if (this->shared->openCount < this->shared->options.maxConnections)
+            return true;
+        const auto holder = this->shared->memory.leastActive(bootNow());
+        if (!holder) {
+            this->shared->onLimit(ClientLimit::connections);
+            return false;
+        }
+        const auto found = this->shared->connectionsByHolder.find(*holder);
+        const ConnectionPtr connection =
+                found == this->shared->connectionsByHolder.end() ? nullptr : found->second.lock();
+        if (!connection)
+            return false;
+        this->shared->onLimit(ClientLimit::connections);
+        connection->close();
+        this->connections.erase(connection);
+        return true;
+    }
+
     void scheduleDeadlineCheck()
     {
         this->timer.expires_after(kDeadlineCheckPeriod);
@@ -549,14 +955,15 @@
             const auto currentConnections = self->connections;
             for (const ConnectionPtr &connection : currentConnections)
                 connection->checkDeadline(now);
+            self->shared->updateMemory();
             std::erase_if(self->connections, [](const auto &each) { return each->isClosed(); });
             self->scheduleDeadlineCheck();
         });
     }
 
-    asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timer;
+    asio::steady_timer acceptTimer;
     std::shared_ptr<SharedState> shared;
     std::set<ConnectionPtr> connections;
     bool stopped{ false };
@@ -597,6 +1004,11 @@
     return this->impl->unansweredCount();
 }
 
+std::string HttpFrontend::metricsText(const std::string &port) const
+{
+    return this->impl->sharedState()->metricsText(port);
+}
+
 void HttpFrontend::stop()
 {
     this->impl->stop();
--- a/src/http_frontend.h
+++ b/src/http_frontend.h
@@ -28,14 +28,17 @@
 };
 
 using AbortableReplyPtr = std::shared_ptr<AbortableReply>;
+/// The handler keeps the body of a request no longer than the reply: while the reply exists, the
+/// body counts towards HttpFrontendOptions::maxBufferedBytes.
 using HttpFrontendHandler = std::function<void(HttpRequest &&, const AbortableReplyPtr &)>;
 
 struct HttpFrontendOptions
 {
     Endpoint listen;
-    std::size_t maxConnections{ 3000 }; ///< further connections are closed on accept
-    /// While the buffered bodies of all requests exceed this size, a new request with a body
-    /// gets status 503.
+    /// At this number, a new connection takes the place of one that makes no progress, or is closed
+    /// on accept if there is none.
+    std::size_t maxConnections{ 3000 };
+    /// Limit on the memory that is held for all clients together; see RequestMemory.
     std::size_t maxBufferedBytes{ 64U << 20U };
     HttpFrontendBounds bounds;
 };
@@ -70,6 +73,10 @@
     /// written.
     std::size_t unansweredCount() const;
 
+    /// Counters of the limits on clients in the Prometheus text format, each line with the label
+    /// `port="PORT"`.
+    std::string metricsText(const std::string &port) const;
+
     /// Stops accepting and closes all connections.
     void stop();
 
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -178,8 +178,10 @@
         if (this->call.isHeadRequest)
             this->reader.expectNoBody();
         this->headDelivered = this->requestWritten = this->isMismatched = false;
-        const std::array<asio::const_buffer, 2> buffers = { asio::buffer(this->call.head),
-                                                            asio::buffer(this->call.body) };
+        const std::array<asio::const_buffer, 2> buffers = {
+            asio::buffer(this->call.head),
+            asio::buffer(this->call.sharedBody ? *this->call.sharedBody : this->call.body)
+        };
         asio::async_write(this->socket, buffers,
                           [self = this->shared_from_this(),
                            callId = this->callId](const std::error_code &error, std::size_t) {
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -47,6 +47,9 @@
     Endpoint to;      ///< address of the server
     std::string head; ///< start line, headers and the blank line
     std::string body;
+    /// Sent instead of `body` unless null, so that a large body need not be copied for each
+    /// attempt. Must not change until the call has ended.
+    std::shared_ptr<const std::string> sharedBody;
     bool isHeadRequest{ false }; ///< the method is HEAD, so the response has no body
     /// True when the request is idempotent. A request that is not idempotent is sent only on a
     /// new or recently used connection.
