Bound the engine time that one request adds to its customer's share

Clients state the length of their prompts. One huge or invalid length would outweigh all other requests of the minute and disable the customers' rule.

--- a/src/customer_shares.cpp
+++ b/src/customer_shares.cpp
@@ -30,6 +30,12 @@
 /// Standard deviations of the recent share, which few requests make up, that count as normal.
 constexpr double kNormalDeviations = 2;
 
+/// False for an engine time that would spoil the sums.
+bool isValid(FloatMilliseconds engineTime)
+{
+    return std::isfinite(engineTime.count()) && engineTime.count() >= 0;
+}
+
 } // namespace
 
 void DecayingSum::add(double amount, Milliseconds window, TimePoint now)
@@ -48,6 +54,8 @@
                                TimePoint now)
 {
     this->dropVanished(now);
+    if (!isValid(engineTime))
+        return;
     if (this->customers.size() >= kMaxCustomers && !this->customers.contains(customer))
         return;
     if (!this->firstRequestAt)
@@ -64,7 +72,7 @@
                                 double overload, TimePoint now)
 {
     const auto found = this->customers.find(customer);
-    if (found == this->customers.end())
+    if (found == this->customers.end() || !isValid(engineTime))
         return;
     found->second.admitted.add(engineTime.count(), kRecentWindow, now);
     this->admittedTotal.add(engineTime.count(), kRecentWindow, now);
--- a/src/customer_shares.h
+++ b/src/customer_shares.h
@@ -39,7 +39,8 @@
 class CustomerShares
 {
 public:
-    /// Counts a request of a customer, whether or not it is admitted.
+    /// Counts a request of a customer, whether or not it is admitted. A negative or infinite
+    /// `engineTime` is ignored.
     void onRequest(const std::string &customer, FloatMilliseconds engineTime, TimePoint now);
 
     /// Counts a request of a customer that is admitted, besides `onRequest`. `overload`, from 0 to
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -83,6 +83,9 @@
 /// Time after a request's deadline at which a discarded answer is no longer read.
 constexpr Milliseconds kDiscardedAnswerGrace = 1s;
 constexpr int kMaxPriority = 9;
+/// Limit on the engine time of a request, in typical requests, when customers' shares are compared.
+/// Clients state the length of their prompts; one false length must not outweigh all others.
+constexpr double kMaxTypicalRequests = 10;
 constexpr const char *kEventStreamType = "text/event-stream";
 
 constexpr int kBadRequest = 400;
@@ -228,12 +231,16 @@
 }
 
 /// Time of a full engine that a request takes: the prefill of its prompt and, because the length
-/// of its answer is not known, a typical request's share of the passes.
+/// of its answer is not known, a typical request's share of the passes. At most
+/// `kMaxTypicalRequests` times the time of a typical request.
 FloatMilliseconds engineTimeOf(const EngineSpec &engine, double promptTokens)
 {
     const EngineModel model(engine);
-    return model.typicalServiceTime() / static_cast<double>(engine.slots)
-           - model.prefillTime(engine.typicalPromptTokens) + model.prefillTime(promptTokens);
+    const FloatMilliseconds typicalTime =
+            model.typicalServiceTime() / static_cast<double>(engine.slots);
+    const FloatMilliseconds time = typicalTime - model.prefillTime(engine.typicalPromptTokens)
+                                   + model.prefillTime(promptTokens);
+    return std::min(time, typicalTime * kMaxTypicalRequests);
 }
 
 /// Returns a duration in seconds with three decimals.
--- a/tests/overload_control_test.cpp
+++ b/tests/overload_control_test.cpp
@@ -226,6 +226,9 @@
     for (int each = 0; each < 1000; ++each)
         send(each % 3 == 0 ? "large" : std::to_string(each % 20));
     EXPECT_EQ(shares.excess("large", now).share, 0);
+    // A false length of a prompt must not spoil the sums.
+    shares.onRequest("11", FloatMilliseconds(std::nan("")), now);
+    shares.onRequest("11", FloatMilliseconds(-1e300), now);
     for (int each = 0; each < 100; ++each)
         send(each % 2 == 0 ? "7" : std::to_string(each % 20));
     EXPECT_GT(shares.excess("7", now).share, 0.5);
