--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -87,6 +87,9 @@
 /// Time after a request's deadline at which a discarded answer is no longer read.
 constexpr Milliseconds kDiscardedAnswerGrace = 1s;
 constexpr int kMaxPriority = 9;
+/// Limit on the engine time of a request, in typical requests, when customers' shares are compared.
+/// Clients state the length of their prompts; one false length must not outweigh all others.
+constexpr double kMaxTypicalRequests = 10;
 constexpr const char *kEventStreamType = "text/event-stream";
 
 constexpr int kBadRequest = 400;
@@ -245,6 +248,15 @@
     return priorities;
 }
 
+/// Time of a full engine that a request takes, at most `kMaxTypicalRequests` times that of a
+/// typical one.
+FloatMilliseconds boundedEngineTime(const EngineSpec &engine, const RequestCost &cost)
+{
+    const EngineModel model(engine);
+    const RequestCost typical{ .promptTokens = engine.typicalPromptTokens };
+    return std::min(model.engineTime(cost), model.engineTime(typical) * kMaxTypicalRequests);
+}
+
 /// Returns a duration in seconds with three decimals.
 std::string secondsText(Milliseconds duration)
 {
@@ -768,7 +780,7 @@
             .service = exchange->service->name,
             .customer = exchange->customer == nullptr ? "" : exchange->customer->name,
             .priority = effectivePriority(*exchange->route, exchange->customer),
-            .engineTime = EngineModel(*exchange->service->engine).engineTime(exchange->cost),
+            .engineTime = boundedEngineTime(*exchange->service->engine, exchange->cost),
             .isReturning = exchange->earlierWait > 0ms
         };
         const AdmissionDecision decision = this->overloadControl.decide(
