Leave resumed streams out of the estimation of speeds

Cause: the predicted time is that of a new stream.

Change: no sample from the first event of a resumed stream; clang-tidy findings.

Measured: gateway, registry and stager build; clang-tidy is clean for the changed sources and tests.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1109,7 +1109,9 @@
     void forwardEvents(const ExchangePtr &exchange, const std::string &events)
     {
         if (!exchange->lifecycle.hasResponseBegun()) {
-            this->learnSpeed(*exchange);
+            // The prediction is for a new stream, not for the rest of a broken one.
+            if (!exchange->lifecycle.hasForwarded())
+                this->learnSpeed(*exchange);
             this->onAnswerBegun(*exchange);
         }
         this->startStream(*exchange);
--- a/src/server_speed.cpp
+++ b/src/server_speed.cpp
@@ -366,7 +366,9 @@
         knee.add(each.inFlight.value / factor, each.excess.weight);
     }
     const double load = std::max(1.0, knee.value);
-    return knee.weight > 0 && load < kKneeSlotsShare * upstream.slots ? load : unknown;
+    if (knee.weight <= 0 || load >= kKneeSlotsShare * upstream.slots)
+        return unknown;
+    return load;
 }
 
 double ServerSpeeds::speed(const std::string &upstream) const
