Shed stalled bodies before the wait of others ends; document the limits

A stalled body was known as such after up to 2 s, when the wait of the bodies behind it ended too. The period is 0.5 s now, at the same rate (32 KiB/s). Tests: legal bodies in chunks of any size, a stalled body that gives way, an idle connection that makes room.

--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -22,8 +22,9 @@
     std::size_t smallRequestBytes{ 64U << 10U };
     /// A client that sends or takes fewer bytes in one `progressPeriod` makes no progress. At this
     /// rate a request of 4 MiB would take four times as long as a body may take.
-    std::size_t minProgressBytes{ 32U << 10U };
-    Milliseconds progressPeriod{ 1s };
+    std::size_t minProgressBytes{ 16U << 10U };
+    /// A stalled client is known after two periods at most, before the wait of others ends.
+    Milliseconds progressPeriod{ 500ms };
     /// Longest wait for a reservation. Clients of the deployments wait 1 s or more for an answer;
     /// one that has waited for longer is better off with a refusal.
     Milliseconds maxWait{ 2s };
--- a/tests/http_frontend_test.cpp
+++ b/tests/http_frontend_test.cpp
@@ -26,24 +26,29 @@
 protected:
     HttpFrontendTest() : pool(1)
     {
-        this->address = freeLoopback("127.0.0.1");
         this->pool.run([this] {
-            this->frontend = std::make_unique<HttpFrontend>(
-                    this->pool.context(),
-                    HttpFrontendOptions{ .listen = this->address,
-                                         .bounds = { .maxHeadBytes = 1024,
-                                                     .maxBodyBytes = 64,
-                                                     .headTimeout = 300ms,
-                                                     .idleTimeout = 1s } },
-                    [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
-                        ++this->handledRequests;
-                        this->handler(std::move(request), reply);
-                    });
-            Reason<std::error_code> reason;
-            this->started = this->frontend->start(reason);
+            this->startFrontend({ .bounds = { .maxHeadBytes = 1024,
+                                              .maxBodyBytes = 64,
+                                              .headTimeout = 300ms,
+                                              .idleTimeout = 1s } });
         });
     }
 
+    /// Replaces the server by one with `options` at a new address.
+    void startFrontend(HttpFrontendOptions options)
+    {
+        this->address = freeLoopback("127.0.0.1");
+        options.listen = this->address;
+        this->frontend = std::make_unique<HttpFrontend>(
+                this->pool.context(), std::move(options),
+                [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
+                    ++this->handledRequests;
+                    this->handler(std::move(request), reply);
+                });
+        Reason<std::error_code> reason;
+        this->started = this->frontend->start(reason);
+    }
+
     ~HttpFrontendTest() override
     {
         this->pool.run([this] { this->frontend.reset(); });
@@ -130,6 +135,70 @@
     EXPECT_NE(received.find("\r\n\r\n1HTTP/1.1 200"), std::string::npos) << received;
 }
 
+// Guards against legal bodies that the limits on memory refuse, and against buffers that mix up the
+// parts of a body.
+TEST_F(HttpFrontendTest, ServesABodyOfAnySizeInChunksOfAnySize)
+{
+    constexpr std::size_t maxBodyBytes = 1U << 20U;
+    this->pool.run([this] { this->frontend->setBounds({ .maxBodyBytes = maxBodyBytes }); });
+    const auto post = [this](const std::string &length, const std::string &content) {
+        return this->exchangeOnce("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + length
+                                  + "\r\n\r\n" + content);
+    };
+    for (const std::size_t size : { std::size_t{ 1 }, std::size_t{ 100'000 }, maxBodyBytes }) {
+        std::string body(size, ' ');
+        for (std::size_t i = 0; i < size; ++i)
+            body[i] = static_cast<char>('a' + i % 23);
+        EXPECT_TRUE(post("Content-Length: " + std::to_string(size), body).ends_with(body));
+        for (const std::size_t chunkSize : { std::size_t{ 1 }, std::size_t{ 4096 }, size }) {
+            std::string chunks;
+            for (std::size_t i = 0; i < size; i += chunkSize) {
+                const std::string chunk = body.substr(i, chunkSize);
+                std::array<char, 20> head{};
+                std::snprintf(head.data(), head.size(), "%zx\r\n", chunk.size());
+                chunks += head.data() + chunk + "\r\n";
+            }
+            EXPECT_TRUE(post("Transfer-Encoding: chunked", chunks + "0\r\n\r\n").ends_with(body))
+                    << size << " in chunks of " << chunkSize;
+        }
+    }
+}
+
+// Guards against clients that stop just short of the end of their bodies and so keep others out.
+TEST_F(HttpFrontendTest, AStalledBodyGivesWayToAWaitingOne)
+{
+    constexpr std::size_t bodyBytes = 150'000;
+    this->pool.run([this] {
+        // Large bodies may take 196,608 bytes of it, so only one fits.
+        this->startFrontend(
+                { .maxBufferedBytes = 256U << 10U, .bounds = { .maxBodyBytes = bodyBytes } });
+    });
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                "Content-Length: "
+                                + std::to_string(bodyBytes) + "\r\n\r\n";
+    const std::string body(bodyBytes, 'x');
+    auto stalled = this->connect();
+    asio::write(stalled, asio::buffer(request + body.substr(1)));
+    auto waiting = this->connect();
+    EXPECT_TRUE(this->exchange(waiting, request + body).ends_with(body));
+    const std::string refusal = this->exchange(stalled, "");
+    EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
+    EXPECT_NE(refusal.find("Retry-After: "), std::string::npos) << refusal;
+    EXPECT_EQ(this->handledRequests, 1) << "the refused request must not run";
+}
+
+// Guards against idle connections that take the place of ordinary ones.
+TEST_F(HttpFrontendTest, AnIdleConnectionMakesRoomForAnother)
+{
+    constexpr Milliseconds idleTime{ 1200 };
+    this->pool.run([this] { this->startFrontend({ .maxConnections = 2 }); });
+    const auto first = this->connect();
+    const auto second = this->connect();
+    std::this_thread::sleep_for(idleTime);
+    EXPECT_TRUE(this->exchangeOnce("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                        .starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(HttpFrontendTest, AnAbortedStreamHasNoFinalChunk)
 {
     this->handler = [](HttpRequest &&, const AbortableReplyPtr &reply) {
