Refuse requests that would run beyond the memory for clients

A small request became one that never gives way as soon as it was dispatched, whatever memory was left, so small requests that run could pass their part. It is refused with 503 before dispatch now, after others have given way. The memory is updated once a turn instead of after each read, because the search for holders takes time in proportion to the connections.

--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -477,6 +477,8 @@
             this->rejectRequest(400);
             return bytes.size();
         }
+        if (this->reader.isComplete() && !this->hasRoomToRun())
+            return bytes.size();
         if (this->reader.isComplete())
             this->dispatch();
         else if (this->phase == Phase::body)
@@ -515,6 +517,22 @@
             this->queueOutput("HTTP/1.1 100 Continue\r\n\r\n");
     }
 
+    /// Checks that memory is left before a request becomes one that never gives way. Returns false
+    /// after refusing the request.
+    bool hasRoomToRun()
+    {
+        this->updateHeldBytes();
+        if (!this->shared->memory.isShort())
+            return true;
+        const std::uint64_t requestNumberBefore = this->requestNumber;
+        this->shared->updateMemory();
+        const bool isRefused = this->requestNumber != requestNumberBefore || this->isClosed();
+        if (isRefused || !this->shared->memory.isShort())
+            return !isRefused;
+        this->rejectRequest(503, ClientLimit::memory);
+        return false;
+    }
+
     /// Reserves memory for the whole body, as soon as it is known to be large, or makes the
     /// connection wait for it.
     void reserveBody()
@@ -821,9 +839,9 @@
         const ConnectionPtr connection = std::move(queue.front());
         queue.pop_front();
         cost += connection->readOnce(this->input);
-        if (this->memory.isShort())
-            this->updateMemory();
     }
+    if (this->memory.isShort())
+        this->updateMemory();
     if (!this->readable.empty() || !this->largeBodies.empty())
         this->scheduleTurn();
 }
