Count the head of a request without its first body bytes

The first read of a request counted whole as its head, 16 KB at most, so that running requests seemed to hold more than they do. A new test holds two running requests and checks that a third is refused and not run.

--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -455,15 +455,15 @@
         }
         const std::size_t consumed = this->reader.feed(bytes);
         if (this->phase == Phase::head)
-            this->receivedHeadBytes +=
-                    std::min(consumed, this->shared->options.bounds.maxHeadBytes);
+            this->receivedHeadBytes += consumed;
         if (this->phase == Phase::head && this->reader.hasHead()) {
             this->enterPhase(Phase::body);
             if (!this->validateHead())
                 return bytes.size();
-        }
-        if (this->phase == Phase::body)
+            this->receivedHeadBytes -= std::min(this->receivedHeadBytes, this->bufferBody());
+        } else if (this->phase == Phase::body) {
             this->bufferBody();
+        }
         switch (this->reader.fault()) {
         case HttpFault::none:
             break;
@@ -551,7 +551,8 @@
     }
 
     /// Moves the parsed body bytes to `body`. The buffer never grows beyond what is reserved.
-    void bufferBody()
+    /// Returns the number of bytes.
+    std::size_t bufferBody()
     {
         const std::string part = this->reader.takeBody();
         const std::size_t needed = this->body.size() + part.size();
@@ -567,6 +568,7 @@
             this->body.swap(grown);
         }
         this->body += part;
+        return part.size();
     }
 
     void addHolder()
--- a/tests/http_frontend_test.cpp
+++ b/tests/http_frontend_test.cpp
@@ -187,6 +187,42 @@
     EXPECT_EQ(this->handledRequests, 1) << "the refused request must not run";
 }
 
+// Guards against small requests that pass the limit on memory while they run.
+TEST_F(HttpFrontendTest, ARequestIsRefusedWhenRunningOnesHoldTheMemory)
+{
+    constexpr std::size_t bodyBytes = 50'000;
+    this->pool.run([this] {
+        // Small requests may take 131,072 bytes of it, so two of them fit.
+        this->startFrontend(
+                { .maxBufferedBytes = 512U << 10U, .bounds = { .maxBodyBytes = bodyBytes } });
+    });
+    std::vector<AbortableReplyPtr> replies;
+    this->handler = [&replies](HttpRequest &&, const AbortableReplyPtr &reply) {
+        replies.push_back(reply);
+    };
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                "Content-Length: "
+                                + std::to_string(bodyBytes) + "\r\n\r\n"
+                                + std::string(bodyBytes, 'x');
+    auto first = this->connect();
+    asio::write(first, asio::buffer(request));
+    auto second = this->connect();
+    asio::write(second, asio::buffer(request));
+    const TimePoint end = std::chrono::steady_clock::now() + kWaitTimeout;
+    while (this->handledRequests < 2 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(10ms);
+    ASSERT_EQ(this->handledRequests, 2);
+    EXPECT_TRUE(this->exchangeOnce(request).starts_with("HTTP/1.1 503"));
+    EXPECT_EQ(this->handledRequests, 2);
+    this->pool.run([&replies] {
+        for (const AbortableReplyPtr &reply : replies)
+            reply->send(200, "", "", {});
+        replies.clear();
+    });
+    EXPECT_TRUE(this->exchange(first, "").starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(this->exchange(second, "").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against idle connections that take the place of ordinary ones.
 TEST_F(HttpFrontendTest, AnIdleConnectionMakesRoomForAnother)
 {
