--- a/tests/load_spread_test.cpp
+++ b/tests/load_spread_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <numeric>
 #include <random>
 
