Refuse for want of room in time only while engines are nearly full

Cause: the share of requests with room in time was applied at any load, to other attempts than the first, to plain services, and with the penalties of the draw.

Change: the share applies to the first choice of the highest priority that is offered, from an occupancy of 0.9 on, by set of regions, with the predicted first token alone. Lower priorities are refused by occupancy only. One engine that takes few requests no longer makes the service look full.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -148,7 +148,8 @@
     std::string suspect;           ///< `requestSuspect` of the request; empty: not computed yet
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
     RequestCost cost;
-    bool isResumed{ false }; ///< an attempt continued a broken stream
+    bool wasOffered{ false }; ///< an upstream has been chosen, or looked for, before
+    bool isResumed{ false };  ///< an attempt continued a broken stream
 
     // The current attempt.
     std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
@@ -428,6 +429,7 @@
     {
         constexpr double percent = 100;
         SelectorOptions options{ .zone = settings.zone,
+                                 .shedsByRoom = settings.admission.isEnabled,
                                  .probingFloor =
                                          settings.serverSpeeds.probingFloorPercent / percent };
         for (const ZoneRegion &each : settings.regions)
@@ -944,7 +946,8 @@
         if (!this->mayAttempt(*exchange))
             return this->giveUpQuarantined(exchange);
         const TimePoint now = bootNow();
-        const SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
+        SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
+        query.isNew = !std::exchange(exchange->wasOffered, true);
         if (!isResume && this->isTooLate(*exchange, query, now)) {
             exchange->retryAfter = this->overloadControl.withJitter(kDefaultRetryAfter);
             return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(kOverloadLate));
@@ -1526,6 +1529,7 @@
         // The failure status in hand must be answered at once, without the wait for a permit.
         SelectionQuery query = this->selectionQuery(*exchange, now, false);
         query.mayNeedPermit = false;
+        query.isNew = false;
         const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty() || !this->retryBudgets.take(exchange->service->name, now))
             return false;
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -17,9 +17,11 @@
 /// Time from the reading of an engine's load until a gateway has the next reading: the period of
 /// the stager's readings, the delay to the gateway and the time for which a request is on its way.
 constexpr Milliseconds kNoticeWindow = 200ms;
-/// Share of the requests of each priority that is sent as long as an engine is in time, however
-/// many requests of higher priority there are.
-constexpr double kMinAdmissionShare = 0.25;
+/// Occupancy from which requests are refused for want of room in time. Below it engines have free
+/// slots, and what gateways expect of each other is too uncertain for a refusal.
+constexpr double kNearlyFullOccupancy = 0.9;
+/// Rate of requests, per second, below which a priority counts as not offered.
+constexpr double kMinOfferedRate = 0.05;
 /// Age up to which sent requests are remembered, to add to the load those that a notice lacks.
 constexpr Milliseconds kRecentWindow = 1s;
 /// Margin for errors of the predicted time to the first token, applied when the weights of an
@@ -39,7 +41,8 @@
 /// respond quickly. Together with `kPlainCostSpread`, this cost keeps requests in the gateway's
 /// zone until a few requests are in flight there.
 constexpr FloatMilliseconds kPlainRequestCost{ 3 };
-/// Replaces `SelectorOptions::costSpread` for plain services; small for the same reason.
+/// Cost difference that lowers the probability of a selection by a factor of e; small for the same
+/// reason.
 constexpr FloatMilliseconds kPlainCostSpread{ 2 };
 /// Lower bound of what another request adds to the wait at an engine, also where the plan names no
 /// times.
@@ -49,6 +52,8 @@
 constexpr Milliseconds kNormalRoundTrip = 40ms;
 /// Penalty of an engine without a link to its stager, whose network path is unknown.
 constexpr Milliseconds kUnknownPathPenalty = 300ms;
+/// Share of slots below which engines count as free if nothing is queued.
+constexpr double kFreeSlotsShare = 0.5;
 /// Age up to which a counted load of a service is used again.
 constexpr Milliseconds kKnownLoadMaxAge = 20ms;
 /// Number of counted loads from which they are dropped; a document names fewer sets of regions.
@@ -58,9 +63,8 @@
 constexpr double kMaxRequestsPerSlot = 3;
 /// Penalty of a silent upstream: its periodic announcements to the registry are overdue.
 constexpr Milliseconds kSilentPenalty = 10s;
-/// Penalty of an engine whose predicted longest pause exceeds the limit, in addition to the excess.
-/// It lowers the probability of a selection by a factor of 1,800, so that the engine is used only
-/// if the others are busier by several requests in the queue.
+/// Penalty of an engine whose predicted longest pause exceeds the limit, in addition to the excess:
+/// the engine is used only if the others are busier by several requests in the queue.
 constexpr Milliseconds kPausePenalty = 300ms;
 /// Penalty of an engine in a slow period, for each unit by which its slowdown factor exceeds 1. The
 /// request would occupy a slot for longer than predicted for its first token, and its events would
@@ -262,8 +266,6 @@
     const auto lowestFirstToken =
             std::ranges::min(candidates, {}, &Candidate::expectedFirstToken).expectedFirstToken;
     if (query.firstTokenLimit) {
-        ServiceRates &rates = this->ratesByService[query.service];
-        rates.offered[query.priority].add(now);
         const double share = lowestFirstToken > *query.firstTokenLimit
                                      ? 0.0
                                      : this->admissionShare(candidates, query, now);
@@ -320,42 +322,48 @@
     return std::max(1.0, this->gatewayCount / zones);
 }
 
-/// Share of the requests of the query's priority for which the candidates have room within the
-/// limit on the first token, after the requests of higher priority that are expected before newer
-/// load notices arrive.
+/// Share of the new requests for which the candidates have room within the limit on the first
+/// token, of those that all gateways are expected to offer before newer load notices arrive. 1
+/// while the engines aren't nearly full, for other attempts than the first, and for requests for
+/// which others of higher priority leave room (`OverloadControl`).
 double UpstreamSelector::admissionShare(const std::vector<Candidate> &candidates,
-                                        const SelectionQuery &query, TimePoint now) const
+                                        const SelectionQuery &query, TimePoint now)
 {
+    if (!query.isNew || !this->options.shedsByRoom || query.plan == nullptr || !query.plan->engine)
+        return 1;
+    const ServiceLoad load = this->serviceLoad(query, now);
+    if (this->offeredByScope.size() >= kMaxKnownLoads && !this->offeredByScope.contains(load.scope))
+        this->offeredByScope.clear();
+    auto &offered = this->offeredByScope[load.scope];
+    offered[query.priority].add(now);
+    std::erase_if(offered,
+                  [&](const auto &each) { return each.second.perSecond(now) < kMinOfferedRate; });
+    const bool isHighest = offered.empty() || offered.begin()->first >= query.priority;
+    if (!isHighest || load.occupancy.value_or(0) < kNearlyFullOccupancy)
+        return 1;
     double room = 0;
     // While requests arrive, the engines work: by the end of the window each wait is shorter by
-    // the window.
-    for (const Candidate &candidate : candidates)
-        room += requestsWithin(candidate.target, *query.firstTokenLimit + kNoticeWindow);
-    const double gatewaySeconds =
-            this->gatewayCount * std::chrono::duration<double>(kNoticeWindow).count();
-    double demand = 0;
-    for (const auto &[priority, rate] : this->ratesByService.at(query.service).offered) {
-        const double requests = rate.perSecond(now) * gatewaySeconds;
-        if (priority < query.priority)
-            room -= requests;
-        else if (priority == query.priority)
-            demand = requests;
+    // the window. The penalties of the draw don't count: they are no reason to refuse.
+    for (const Candidate &candidate : candidates) {
+        SpreadTarget target = candidate.evenTarget;
+        target.wait = candidate.expectedFirstToken;
+        room += requestsWithin(target, *query.firstTokenLimit + kNoticeWindow);
     }
-    const bool isHighest =
-            this->ratesByService.at(query.service).offered.begin()->first == query.priority;
-    const double share = demand > 0 ? room / demand : 1.0;
-    return std::clamp(share, isHighest ? 0.0 : kMinAdmissionShare, 1.0);
+    const double requests = offered[query.priority].perSecond(now) * this->gatewayCount
+                            * std::chrono::duration<double>(kNoticeWindow).count();
+    return std::clamp(room / std::max(1.0, requests), 0.0, 1.0);
 }
 
 void UpstreamSelector::weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
                                     TimePoint now) const
 {
-    const auto rates = this->ratesByService.find(query.service);
+    // A gateway that has just started counts as one that sends a request a second: if it expected
+    // nothing, new gateways would all choose the engine with the shortest wait.
+    const auto sent = this->sentByService.find(query.service);
+    const double sentPerSecond =
+            std::max(1.0, sent == this->sentByService.end() ? 0.0 : sent->second.perSecond(now));
     const double sentInWindow =
-            rates == this->ratesByService.end()
-                    ? 0.0
-                    : rates->second.sent.perSecond(now)
-                              * std::chrono::duration<double>(kNoticeWindow).count();
+            sentPerSecond * std::chrono::duration<double>(kNoticeWindow).count();
     const SpreadDemand demand{ .ofZone = sentInWindow * this->gatewaysOfZone(),
                                .ofAll = sentInWindow * this->gatewayCount };
     const auto sharesOf = [&](SpreadTarget Candidate::*target) {
@@ -681,6 +689,9 @@
     weights.reserve(candidates.size());
     for (const Candidate &candidate : candidates)
         weights.push_back(candidate.weight);
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    if (!std::isfinite(sum) || sum <= 0)
+        weights.assign(weights.size(), 1.0);
     std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
     return candidates[distribution(this->random)];
 }
@@ -714,6 +725,9 @@
     KnownLoad known{ .countedAt = now };
     double requests = 0;
     double slots = 0;
+    double allRequests = 0;
+    double allSlots = 0;
+    bool isAnyQueued = false;
     bool isAnyFresh = false;
     for (auto &[id, upstream] : this->upstreams) {
         if (upstream.record.service != query.service || !this->isAllowed(upstream, query)
@@ -726,15 +740,25 @@
         const double usableSlots = this->slotsOf(upstream, query, now);
         if (usableSlots <= 0)
             continue;
-        requests += this->requestsAt(upstream, *query.plan->engine, now);
+        const double requestsHere = this->requestsAt(upstream, *query.plan->engine, now);
+        // An engine that takes few requests must not make the others look full.
+        requests += std::min(requestsHere, kMaxRequestsPerSlot * usableSlots);
         slots += usableSlots;
+        allRequests += requestsHere;
+        allSlots += query.plan->engine->slots;
+        isAnyQueued = isAnyQueued || upstream.loadNotice.queued > 0;
         isAnyFresh = isAnyFresh || this->hasFreshNotice(upstream, now);
         known.firstTokenBeforePrefill =
                 std::min(known.firstTokenBeforePrefill.value_or(candidate.expectedFirstToken),
                          candidate.expectedFirstToken);
     }
-    if (isAnyFresh)
-        known.occupancy = requests / slots;
+    if (!isAnyFresh)
+        return known;
+    known.occupancy = requests / slots;
+    // Nothing is refused while half of the slots are free and nothing waits, however slow the
+    // engines are.
+    if (!isAnyQueued && allRequests < kFreeSlotsShare * allSlots)
+        known.occupancy = std::min(*known.occupancy, kFreeSlotsShare);
     return known;
 }
 
@@ -781,7 +805,7 @@
     if (found == this->upstreams.end())
         return;
     ++found->second.inFlight;
-    this->ratesByService[found->second.record.service].sent.add(now);
+    this->sentByService[found->second.record.service].add(now);
     found->second.recentRequests.push_back({ .sentAt = now, .cost = cost });
     while (found->second.recentRequests.front().sentAt < now - kRecentWindow)
         found->second.recentRequests.pop_front();
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -33,8 +33,8 @@
     /// Penalty of an upstream of a plain service in another zone: the network delay only. Plain
     /// services are defined at `UpstreamSelector`.
     Milliseconds plainCrossZonePenalty{ 6ms };
-    /// Cost difference that lowers the probability of a selection by a factor of e.
-    Milliseconds costSpread{ 40ms };
+    /// Refuses the share of new requests for which full engines have no room in time.
+    bool shedsByRoom{ true };
     /// Share of its requests that an upstream keeps however slow it is, compared with a selection
     /// that knows no speeds. Its answers show when it has become faster.
     double probingFloor{ 0.1 };
@@ -70,6 +70,8 @@
     std::uint64_t exactVersion{ 0 }; ///< the only allowed version of the weights; 0: any
     /// Limit on the predicted time to the first token; empty: no limit.
     std::optional<Milliseconds> firstTokenLimit;
+    /// First choice for a request, not for another attempt or after a refused permit.
+    bool isNew{ true };
     /// The request may be executed more than once. If false, the request is never sent to an
     /// upstream that is ejected or in cooldown, not even as a last resort.
     bool mayRunTwice{ true };
@@ -131,11 +133,11 @@
 /// An engine where the prediction exceeds the limit on pauses, and an engine in a slow period, are
 /// used only if the others are much busier; an engine whose memory has no room for the request,
 /// only if no other has.
-/// Upstreams are drawn at random, weighted by predicted cost, so that gateways with the same
-/// load notices don't all select the same upstream. The selection also has to work while
-/// engines are full most of the time, and while a single engine recovers and all others
-/// accept no requests. Parameters named `upstream` hold ids; parameters named `endpoint` hold the
-/// address of an engine. Deterministic given the seed; not thread safe.
+/// Upstreams are drawn at random: engines by `spreadWeights`, others weighted by cost, so that
+/// gateways with the same load notices don't all select the same upstream. The selection also has
+/// to work while engines are full most of the time, and while a single engine recovers and all
+/// others accept no requests. Parameters named `upstream` hold ids; parameters named `endpoint`
+/// hold the address of an engine. Deterministic given the seed; not thread safe.
 class UpstreamSelector
 {
 public:
@@ -248,13 +250,6 @@
         FloatMilliseconds longestPause{ 0 }; ///< predicted for the streams at an engine
         bool hasMemory{ true };              ///< the memory of the engine has room for the request
     };
-    /// Rates at which this gateway's requests to a service arrive.
-    struct ServiceRates
-    {
-        ArrivalRate sent;                             ///< sent to upstreams
-        std::map<std::uint32_t, ArrivalRate> offered; ///< by priority, refused ones included
-    };
-
     /// Load of the engines of a service in a set of regions.
     struct KnownLoad
     {
@@ -293,7 +288,7 @@
                                      const EngineLoad &load, FloatMilliseconds wait, bool isLocal);
     const Candidate &drawByWeight(const std::vector<Candidate> &candidates);
     double admissionShare(const std::vector<Candidate> &candidates, const SelectionQuery &query,
-                          TimePoint now) const;
+                          TimePoint now);
     void weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
                       TimePoint now) const;
     void weighPlain(std::vector<Candidate> &candidates) const;
@@ -304,7 +299,9 @@
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, std::string> idByEndpoint; ///< id of the upstream at an address
     std::set<std::string> zonesOut;
-    std::map<std::string, ServiceRates> ratesByService;
+    std::map<std::string, ArrivalRate> sentByService; ///< requests sent to upstreams
+    /// New requests, refused ones included, by service with set of regions and by priority.
+    std::map<std::string, std::map<std::uint32_t, ArrivalRate>> offeredByScope;
     std::map<std::string, KnownLoad> knownLoads; ///< by service and set of regions
     std::uint32_t gatewayCount{ 1 };
     OutlierDetector outlierDetector;
