--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -54,6 +54,8 @@
 constexpr Milliseconds kUnknownPathPenalty = 300ms;
 /// Share of slots below which engines count as free if nothing is queued.
 constexpr double kFreeSlotsShare = 0.5;
+/// Occupancy up to which nothing is refused, see `OverloadOptions::start`.
+constexpr double kUnrefusedOccupancy = 0.75;
 /// Age up to which a counted load of a service is used again.
 constexpr Milliseconds kKnownLoadMaxAge = 20ms;
 /// Number of counted loads from which they are dropped; a document names fewer sets of regions.
@@ -758,7 +760,7 @@
     // Nothing is refused while half of the slots are free and nothing waits, however slow the
     // engines are.
     if (!isAnyQueued && allRequests < kFreeSlotsShare * allSlots)
-        known.occupancy = std::min(*known.occupancy, kFreeSlotsShare);
+        known.occupancy = std::min(*known.occupancy, kUnrefusedOccupancy);
     return known;
 }
 
