Apply the higher ranks' first token limit to nearly full engines only

A prompt whose own prefill takes longer than the smallest objective of the higher ranks was refused at every attempt, also on idle engines. The limit now applies from an effective occupancy of 0.75, which isNearlyFull() tells the gateway. Objectives of 0 no longer count as the smallest one.

--- a/src/overload_control.cpp
+++ b/src/overload_control.cpp
@@ -80,6 +80,8 @@
         return {};
     Service &service = found->second;
     const Occupancy *occupancy = this->observe(service, load, now);
+    service.isNearlyFull = occupancy != nullptr && occupancy->effective >= kFreeOccupancy;
+    service.decidedAt = now;
     service.customers.onRequest(request.customer, request.engineTime, now);
     AdmissionDecision decision;
     if (occupancy != nullptr) {
@@ -101,7 +103,10 @@
         const double refused = 1 - (1 - byPriority) * (1 - byCustomer);
         const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
         const auto limit = higherObjective(service, rank);
-        const bool isBeyondLimit = limit && load.firstToken && *load.firstToken > *limit;
+        // On engines with free slots a late first token is due to the prompt's own length, so that
+        // a refusal would not make room for higher ranks.
+        const bool isBeyondLimit =
+                service.isNearlyFull && limit && load.firstToken && *load.firstToken > *limit;
         const FloatMilliseconds occupancyDrainTime = drainTime(*occupancy, start);
         if (draw < byCustomer)
             decision = this->refusal(kOverloadCustomer,
@@ -120,11 +125,17 @@
     return decision;
 }
 
+bool OverloadControl::isNearlyFull(const std::string &service) const
+{
+    const auto found = this->services.find(service);
+    return this->options.isEnabled && found != this->services.end() && found->second.isNearlyFull;
+}
+
 std::optional<Milliseconds> OverloadControl::firstTokenLimit(const std::string &service,
                                                              std::uint32_t priority) const
 {
     const auto found = this->services.find(service);
-    if (!this->options.isEnabled || found == this->services.end())
+    if (!this->isNearlyFull(service))
         return std::nullopt;
     return higherObjective(found->second, rankOf(found->second, priority));
 }
@@ -144,6 +155,8 @@
         std::erase_if(service.occupancies, [now](const auto &each) {
             return now - each.second.updatedAt > kMaxOccupancyAge;
         });
+        if (now - service.decidedAt > kMaxOccupancyAge)
+            service.isNearlyFull = false;
         for (auto &[priority, refusals] : service.refusals) {
             if (!refusals.isShedding || now - refusals.lastRefusalAt < kSheddingEnd)
                 continue;
@@ -191,9 +204,11 @@
                                                              std::size_t rank)
 {
     std::optional<Milliseconds> smallest;
-    for (std::size_t higher = 0; higher < rank; ++higher)
-        smallest =
-                std::min(smallest.value_or(Milliseconds::max()), service.ranks[higher].objective);
+    for (std::size_t higher = 0; higher < rank; ++higher) {
+        const Milliseconds objective = service.ranks[higher].objective;
+        if (objective > 0ms)
+            smallest = std::min(smallest.value_or(objective), objective);
+    }
     return smallest;
 }
 
--- a/src/overload_control.h
+++ b/src/overload_control.h
@@ -121,9 +121,14 @@
     AdmissionDecision decide(const AdmissionRequest &request, const ServiceLoad &load,
                              TimePoint now);
 
+    /// Returns whether the effective occupancy at the last decision on a request to the service was
+    /// at least 0.75. False when the occupancy is unknown.
+    bool isNearlyFull(const std::string &service) const;
+
     /// Limit on the predicted time to the first token that the higher ranks of the service set: the
-    /// smallest of their objectives, so that a longer objective gives no precedence. Empty for the
-    /// highest rank, which has only its own objective, and for services that are not controlled.
+    /// smallest of their objectives, so that a longer objective gives no precedence. Objectives of
+    /// 0 don't count. Empty for the highest rank, which has only its own objective, for services
+    /// that are not controlled, and while `isNearlyFull` is false.
     std::optional<Milliseconds> firstTokenLimit(const std::string &service,
                                                 std::uint32_t priority) const;
 
@@ -162,6 +167,8 @@
         CustomerShares customers;
         std::map<std::string, Occupancy> occupancies; ///< by scope
         std::map<std::uint32_t, Refusals> refusals;   ///< by priority
+        bool isNearlyFull{ false };                   ///< at the last decision
+        TimePoint decidedAt;                          ///< time of the last decision
     };
 
     static std::size_t rankOf(const Service &service, std::uint32_t priority);
