Rank only priorities whose requests arrive

One customer with priority 0 that never sent made all other requests lower rank, so that up to three quarters of them were refused under load with nobody to be preferred. A priority now has a rank for 5 s after each of its requests at the gateway. A restarted gateway therefore ranks from the first request of a higher priority on.

The tests of lower ranks send requests of the higher ranks too, with unchanged bounds. <utility> is included for std::exchange and std::move.

--- a/src/overload_control.cpp
+++ b/src/overload_control.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace egret {
 
@@ -34,6 +35,9 @@
 constexpr Milliseconds kStatusWindow = 5s;
 /// Shedding of a priority counts as ended when nothing was refused for this time.
 constexpr Milliseconds kSheddingEnd = 1s;
+/// A priority without requests for this time has no rank. A gateway gets about 11 requests a
+/// second, so a priority with a tenth of them is missed in this time once in some 250 times.
+constexpr Milliseconds kRankAge = 5s;
 
 } // namespace
 
@@ -85,24 +89,25 @@
     service.customers.onRequest(request.customer, request.engineTime, now);
     AdmissionDecision decision;
     if (occupancy != nullptr) {
-        const std::size_t rank = rankOf(service, request.priority);
-        const double start = this->rangeStart(service, rank);
+        const Rank rank = rankOf(service, request.priority, now);
+        const double start = this->rangeStart(rank);
         const double mostRefused = 1 - this->options.floor;
         double byPriority =
-                rank == 0 ? 0
-                          : std::min(this->shareAbove(start, 1, occupancy->effective), mostRefused);
+                rank.place == 0
+                        ? 0
+                        : std::min(this->shareAbove(start, 1, occupancy->effective), mostRefused);
         // The square is smaller, and leaves nobody refused always or admitted always.
         if (request.isReturning)
             byPriority *= byPriority;
         const double customerStart =
-                this->options.start + (rank == 0 ? kCustomerWidth * this->options.width : 0);
+                this->options.start + (rank.place == 0 ? kCustomerWidth * this->options.width : 0);
         const CustomerExcess excess = service.customers.excess(request.customer, now);
         const double byCustomer =
                 this->shareAbove(customerStart, kCustomerWidth, occupancy->effective)
                 * excess.share;
         const double refused = 1 - (1 - byPriority) * (1 - byCustomer);
         const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
-        const auto limit = higherObjective(service, rank);
+        const auto limit = rank.higherObjective;
         // On engines with free slots a late first token is due to the prompt's own length, so that
         // a refusal would not make room for higher ranks.
         const bool isBeyondLimit =
@@ -137,7 +142,7 @@
     const auto found = this->services.find(service);
     if (!this->isNearlyFull(service))
         return std::nullopt;
-    return higherObjective(found->second, rankOf(found->second, priority));
+    return rankOf(found->second, priority, found->second.decidedAt).higherObjective;
 }
 
 Milliseconds OverloadControl::withJitter(FloatMilliseconds time)
@@ -190,26 +195,33 @@
     return all;
 }
 
-/// Rank of a priority, 0 for the highest. A priority that no route has is ranked between the
-/// others; a request keeps the priority that an earlier document gave it.
-std::size_t OverloadControl::rankOf(const Service &service, std::uint32_t priority)
+/// A priority that no route has is ranked between the others, or as the lowest of them; a request
+/// keeps the priority that an earlier document gave it.
+OverloadControl::Rank OverloadControl::rankOf(const Service &service, std::uint32_t priority,
+                                              TimePoint now)
 {
-    const auto found =
-            std::ranges::lower_bound(service.ranks, priority, {}, &PriorityObjective::priority);
-    const auto rank = static_cast<std::size_t>(found - service.ranks.begin());
-    return std::min(rank, service.ranks.size() - 1);
-}
-
-std::optional<Milliseconds> OverloadControl::higherObjective(const Service &service,
-                                                             std::size_t rank)
-{
-    std::optional<Milliseconds> smallest;
-    for (std::size_t higher = 0; higher < rank; ++higher) {
-        const Milliseconds objective = service.ranks[higher].objective;
-        if (objective > 0ms)
-            smallest = std::min(smallest.value_or(objective), objective);
+    Rank rank;
+    std::size_t count = 0;
+    for (const PriorityObjective &each : service.ranks) {
+        const auto known = service.refusals.find(each.priority);
+        const bool isActive =
+                known != service.refusals.end() && now - known->second.lastRequestAt <= kRankAge;
+        if (!isActive && each.priority != priority)
+            continue;
+        ++count;
+        if (each.priority >= priority)
+            continue;
+        ++rank.place;
+        if (each.objective > 0ms)
+            rank.higherObjective =
+                    std::min(rank.higherObjective.value_or(each.objective), each.objective);
     }
-    return smallest;
+    rank.lowest = std::max<std::size_t>(count, 1) - 1;
+    rank.place = std::min(rank.place, rank.lowest);
+    // The highest rank has only its own objective.
+    if (rank.place == 0)
+        rank.higherObjective.reset();
+    return rank;
 }
 
 double OverloadControl::highestOccupancy(const Service &service)
@@ -252,12 +264,13 @@
 /// Occupancy from which requests of a rank are refused. The ranges of the ranks begin evenly spread
 /// over half of the width, so that those of any two ranks overlap and the last one ends soon after
 /// the first. The highest rank has the range of the rank below, for customers in excess only.
-double OverloadControl::rangeStart(const Service &service, std::size_t rank) const
+double OverloadControl::rangeStart(const Rank &rank) const
 {
-    const std::size_t lowest = service.ranks.size() - 1;
-    const double place = lowest < 2 ? (rank == 0 ? 1.0 : 0.0)
-                                    : static_cast<double>(lowest - std::max<std::size_t>(rank, 1))
-                                              / static_cast<double>(lowest - 1);
+    const double place =
+            rank.lowest < 2
+                    ? (rank.place == 0 ? 1.0 : 0.0)
+                    : static_cast<double>(rank.lowest - std::max<std::size_t>(rank.place, 1))
+                              / static_cast<double>(rank.lowest - 1);
     return this->options.start + this->options.width / 2 * place;
 }
 
@@ -284,6 +297,7 @@
 {
     Refusals &refusals = service.refusals[priority];
     refusals.recentRequests.add(1, kStatusWindow, now);
+    refusals.lastRequestAt = now;
     ++refusals.requests;
     if (decision.isAdmitted)
         return;
--- a/src/overload_control.h
+++ b/src/overload_control.h
@@ -100,14 +100,14 @@
 };
 
 /// Decides at a gateway which requests to a service are refused while its engines are nearly full.
-/// Priorities of a service are ranked; the requests of a lower rank are refused at random, with a
-/// probability that rises with the occupancy of the engines, and earlier for lower ranks. A
-/// customer that asks for much more than usual is refused in proportion to the excess. Requests of
-/// the highest rank are refused for the customer's excess only; the limit on the predicted first
-/// token, which `UpstreamSelector::choose` applies, is what else holds for them. All gateways have
-/// the same delayed load notices, so the share refused never jumps; the seeded draws of different
-/// gateways are independent. Services without priorities are not controlled. Deterministic given
-/// the seed; not thread safe.
+/// Priorities of a service whose requests have arrived in the last seconds are ranked; the requests
+/// of a lower rank are refused at random, with a probability that rises with the occupancy of the
+/// engines, and earlier for lower ranks. A customer that asks for much more than usual is refused
+/// in proportion to the excess. Requests of the highest rank are refused for the customer's excess
+/// only; the limit on the predicted first token, which `UpstreamSelector::choose` applies, is what
+/// else holds for them. All gateways have the same delayed load notices, so the share refused never
+/// jumps; the seeded draws of different gateways are independent. Services without priorities are
+/// not controlled. Deterministic given the seed; not thread safe.
 class OverloadControl
 {
 public:
@@ -156,6 +156,7 @@
     {
         DecayingSum recentRequests;
         DecayingSum recentRefusals;
+        TimePoint lastRequestAt;
         bool isShedding{ false };
         TimePoint lastRefusalAt;
         std::uint64_t requests{ 0 }; ///< since the refusals began
@@ -171,11 +172,18 @@
         TimePoint decidedAt;                          ///< time of the last decision
     };
 
-    static std::size_t rankOf(const Service &service, std::uint32_t priority);
-    static std::optional<Milliseconds> higherObjective(const Service &service, std::size_t rank);
+    /// Place of a priority among those whose requests arrive.
+    struct Rank
+    {
+        std::size_t place{ 0 };                      ///< 0 is the highest
+        std::size_t lowest{ 0 };                     ///< place of the lowest
+        std::optional<Milliseconds> higherObjective; ///< smallest of the higher places
+    };
+
+    static Rank rankOf(const Service &service, std::uint32_t priority, TimePoint now);
     static double highestOccupancy(const Service &service);
     const Occupancy *observe(Service &service, const ServiceLoad &load, TimePoint now) const;
-    double rangeStart(const Service &service, std::size_t rank) const;
+    double rangeStart(const Rank &rank) const;
     double shareAbove(double start, double widths, double occupancy) const;
     static FloatMilliseconds drainTime(const Occupancy &occupancy, double rangeStart);
     AdmissionDecision refusal(const char *reason, FloatMilliseconds drainTime);
--- a/tests/overload_control_test.cpp
+++ b/tests/overload_control_test.cpp
@@ -63,12 +63,19 @@
 }
 
 /// Share of requests that are admitted in ten seconds with a constant occupancy, after one second.
+/// `others`: further priorities, each with one request a second.
 double admittedShare(OverloadControl &control, std::uint32_t priority,
-                     std::optional<double> occupancy, bool isReturning = false)
+                     std::optional<double> occupancy, bool isReturning = false,
+                     const std::vector<std::uint32_t> &others = { 0, 1, 2 })
 {
     int admitted = 0;
     int requests = 0;
     for (Milliseconds at = 0ms; at < 11s; at += 2ms) {
+        for (const std::uint32_t other : others) {
+            if (at % 1s == 0ms && other != priority)
+                control.decide({ .service = "llm", .customer = "7", .priority = other },
+                               loadOf(occupancy), kStart + at);
+        }
         const AdmissionDecision decision =
                 control.decide({ .service = "llm",
                                  .customer = std::to_string(at.count() % 7),
@@ -117,6 +124,29 @@
     }
 }
 
+// Load: only two of three priorities send, and later the lowest alone. Guards against a priority
+// of a customer that never sends, which would make all other requests lower rank.
+TEST(OverloadControl, PriorityWithoutRequestsHasNoRank)
+{
+    OverloadControl control = threeRanks();
+    EXPECT_EQ(admittedShare(control, 1, 1.5, false, { 2 }), 1);
+    EXPECT_LT(admittedShare(control, 2, 1.5, false, { 1 }), 0.3);
+    EXPECT_EQ(control.firstTokenLimit("llm", 1), std::nullopt);
+    EXPECT_EQ(control.firstTokenLimit("llm", 2), 300ms);
+    OverloadControl alone = threeRanks();
+    EXPECT_EQ(admittedShare(alone, 2, 1.5, false, {}), 1);
+    // The highest priority has a rank again from its first request on.
+    const ServiceLoad late{ .occupancy = 0.75, .firstToken = FloatMilliseconds(500), .scope = "" };
+    const auto isAdmitted = [&](std::uint32_t priority, Milliseconds at) {
+        return alone.decide({ .service = "llm", .priority = priority }, late, kStart + at)
+                .isAdmitted;
+    };
+    EXPECT_TRUE(isAdmitted(2, 12s));
+    EXPECT_TRUE(isAdmitted(0, 12s));
+    EXPECT_FALSE(isAdmitted(2, 16s));
+    EXPECT_TRUE(isAdmitted(2, 18s));
+}
+
 // Guards against a longer objective that gives a lower priority precedence.
 TEST(OverloadControl, FirstTokenLimitIsTheSmallestObjectiveOfHigherPriorities)
 {
@@ -192,6 +222,7 @@
 {
     OverloadControl control = threeRanks();
     std::vector<Milliseconds> times;
+    control.decide({ .service = "llm", .priority = 0 }, loadOf(1.3), kStart);
     for (int each = 0; each < 500; ++each) {
         const AdmissionDecision decision = control.decide({ .service = "llm", .priority = 2 },
                                                           loadOf(1.3), kStart + each * 2ms);
@@ -210,15 +241,15 @@
 TEST(OverloadControl, DocumentChangeReplacesRanksAtOnce)
 {
     OverloadControl control = threeRanks();
-    EXPECT_EQ(admittedShare(control, 0, 1.5), 1);
-    EXPECT_LT(admittedShare(control, 2, 1.5), 0.3);
+    EXPECT_EQ(admittedShare(control, 0, 1.5, false, {}), 1);
+    EXPECT_LT(admittedShare(control, 2, 1.5, false, { 0 }), 0.3);
     const auto begun = control.takeChanges(kStart + 11s);
     ASSERT_EQ(begun.size(), 1U);
     EXPECT_TRUE(begun.front().isShedding);
     control.setPriorities("llm", { { .priority = 2, .objective = 400ms },
                                    { .priority = 5, .objective = 400ms } });
-    EXPECT_EQ(admittedShare(control, 2, 1.5), 1);
-    EXPECT_LT(admittedShare(control, 5, 1.5), 0.3);
+    EXPECT_EQ(admittedShare(control, 2, 1.5, false, { 2, 5 }), 1);
+    EXPECT_LT(admittedShare(control, 5, 1.5, false, { 2, 5 }), 0.3);
     const auto changes = control.takeChanges(kStart + 20s);
     EXPECT_EQ(std::ranges::count(changes, false, &SheddingChange::isShedding), 2);
     control.setPriorities("llm", {});
