Remove aged kinds from the speeds of upstreams

After eight route names an upstream's answers of new routes were ignored for good, so that its speed returned to 1 after a change of the routes. Kinds whose weight fell below 0.01 are removed now.

Tests of ServerSpeeds, ServerSpeedsLoad and SpeedObservationMerger: 14 passed. NewRoutesAreLearnedOnceOldOnesHaveAged fails without the change (speed 1, 0.25 expected).

--- a/src/server_speed.cpp
+++ b/src/server_speed.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t kPredictedKind = 0;
 /// Kinds (routes) by which the times of one upstream are distinguished.
 constexpr std::size_t kMaxKinds = 8;
+/// A kind whose weight falls below this is removed, to make room for the routes of a new document.
+constexpr double kMinKindWeight = 0.01;
 /// Answers in one observation that count; bounds what a single message can change.
 constexpr double kMaxAnswersAtOnce = 64;
 /// Largest distance of a time's logarithm from the mean: a factor of 10. Keeps single outliers,
@@ -168,7 +170,8 @@
     this->apply(upstream, *clamped, now);
 }
 
-/// Reduces the weights of an upstream's earlier answers, for `answers` new ones and for the time.
+/// Reduces the weights of an upstream's earlier answers and removes kinds without weight, for
+/// `answers` new ones and for the time.
 void ServerSpeeds::age(Upstream &upstream, double answers, TimePoint now) const
 {
     const FloatMilliseconds elapsed = now - upstream.agedAt;
@@ -178,6 +181,8 @@
     upstream.agedAt = now;
     for (auto &[kind, mean] : upstream.byKind)
         mean.weight *= factor;
+    std::erase_if(upstream.byKind,
+                  [](const auto &each) { return each.second.weight < kMinKindWeight; });
     for (LoadClass &each : upstream.byLoad) {
         each.excess.weight *= factor;
         each.inFlight.weight *= factor;
@@ -188,6 +193,7 @@
 /// Adds answers to an upstream's means. False if the upstream has too many kinds already.
 bool ServerSpeeds::apply(Upstream &upstream, const SpeedObservation &observation, TimePoint now)
 {
+    this->age(upstream, 0, now);
     if (!upstream.byKind.contains(observation.kind) && upstream.byKind.size() >= kMaxKinds)
         return false;
     const double count = std::min<double>(observation.count, kMaxAnswersAtOnce);
--- a/src/speed_observations.cpp
+++ b/src/speed_observations.cpp
@@ -95,7 +95,7 @@
         if (this->sumCount >= kMaxPending)
             return;
         auto &byGateway = this->pending[key];
-        // Sums of an earlier incarnation are worth nothing.
+        // Observations of an earlier incarnation are discarded.
         if (!byGateway.empty()
             && byGateway.begin()->second.startedAtMs != observation->startedAtMs) {
             this->sumCount -= byGateway.size();
--- a/tests/server_speed_test.cpp
+++ b/tests/server_speed_test.cpp
@@ -159,6 +159,25 @@
         EXPECT_GT(trial.speed(server), 0.95) << server;
 }
 
+// Guards against answers that are ignored for good after eight routes that no longer exist.
+TEST(ServerSpeeds, NewRoutesAreLearnedOnceOldOnesHaveAged)
+{
+    SpeedTrial trial({ 1, 1, 0.25 });
+    const auto answerAll = [&trial](const std::string &route) {
+        for (std::size_t server = 0; server < 3; ++server)
+            trial.answer(server, route);
+    };
+    for (int route = 0; route < 8; ++route)
+        answerAll("old" + std::to_string(route));
+    for (int i = 0; i < 600; ++i) {
+        trial.now += i < 100 ? 10s : 50ms;
+        answerAll("new");
+        trial.estimator.update(trial.now);
+    }
+    EXPECT_NEAR(trial.speed(2), 0.25, 0.03);
+    EXPECT_GT(trial.speed(1), 0.9);
+}
+
 // Guards against jumps that all gateways make at once.
 TEST(ServerSpeeds, StepIsBounded)
 {
