Guard the predicted prefill time against a rate of 0

A document that gives no tokens a second made the predicted times infinite, or NaN for an empty prompt. The rate counts as at least 1. Compiled, not tested by a test of its own.

--- a/src/engine_model.cpp
+++ b/src/engine_model.cpp
@@ -48,8 +48,9 @@
 
 FloatMilliseconds EngineModel::prefillTime(double promptTokens) const
 {
+    // A document may give 0, which would make every predicted time infinite or NaN.
     const FloatMilliseconds linearTime(promptTokens * kThousand
-                                       / this->spec.prefillTokensPerSecond);
+                                       / std::max(1.0, this->spec.prefillTokensPerSecond));
     const double tokenPairs = promptTokens * promptTokens / 2;
     return linearTime + this->spec.attentionPerMillionPairs * (tokenPairs / kMillion);
 }
