--- a/src/overload_control.h
+++ b/src/overload_control.h
@@ -21,8 +21,8 @@
     /// Range of occupancy over which the refused share of a priority rises from 0 to 1. Gateways
     /// learn the effect of their refusals 100 to 300 ms later; with 0.25 the load oscillated.
     double width{ 0.4 };
-    /// Share of the requests of each priority that is never refused by priority. A customer in
-    /// excess keeps its usual share instead, since its clients may repeat requests without end.
+    /// Share of the requests of each priority that is never refused by priority. Of a customer in
+    /// excess, half of this share is never refused for the excess.
     double floor{ 0.25 };
 };
 
@@ -100,14 +100,14 @@
 };
 
 /// Decides at a gateway which requests to a service are refused while its engines are nearly full.
-/// Priorities of a service are ranked; the requests of a lower rank are refused at random, with a
-/// probability that rises with the occupancy of the engines, and earlier for lower ranks. A
-/// customer that asks for much more than usual is refused in proportion to the excess. Requests of
-/// the highest rank are refused for the customer's excess only; the limit on the predicted first
-/// token, which `UpstreamSelector::choose` applies, is what else holds for them. All gateways have
-/// the same delayed load notices, so the share refused never jumps; the seeded draws of different
-/// gateways are independent. Services without priorities are not controlled. Deterministic given
-/// the seed; not thread safe.
+/// Priorities of a service whose requests have arrived in the last seconds are ranked; the requests
+/// of a lower rank are refused at random, with a probability that rises with the occupancy of the
+/// engines, and earlier for lower ranks. A customer that asks for much more than usual is refused
+/// in proportion to the excess. Requests of the highest rank are refused for the customer's excess
+/// only; the limit on the predicted first token, which `UpstreamSelector::choose` applies, is what
+/// else holds for them. All gateways have the same delayed load notices, so the share refused never
+/// jumps; the seeded draws of different gateways are independent. Services without priorities are
+/// not controlled. Deterministic given the seed; not thread safe.
 class OverloadControl
 {
 public:
@@ -121,9 +121,14 @@
     AdmissionDecision decide(const AdmissionRequest &request, const ServiceLoad &load,
                              TimePoint now);
 
+    /// Returns whether the effective occupancy at the last decision on a request to the service was
+    /// at least 0.75. False when the occupancy is unknown.
+    bool isNearlyFull(const std::string &service) const;
+
     /// Limit on the predicted time to the first token that the higher ranks of the service set: the
-    /// smallest of their objectives, so that a longer objective gives no precedence. Empty for the
-    /// highest rank, which has only its own objective, and for services that are not controlled.
+    /// smallest of their objectives, so that a longer objective gives no precedence. Objectives of
+    /// 0 don't count. Empty for the highest rank, which has only its own objective, for services
+    /// that are not controlled, and while `isNearlyFull` is false.
     std::optional<Milliseconds> firstTokenLimit(const std::string &service,
                                                 std::uint32_t priority) const;
 
@@ -151,6 +156,7 @@
     {
         DecayingSum recentRequests;
         DecayingSum recentRefusals;
+        TimePoint lastRequestAt;
         bool isShedding{ false };
         TimePoint lastRefusalAt;
         std::uint64_t requests{ 0 }; ///< since the refusals began
@@ -162,13 +168,22 @@
         CustomerShares customers;
         std::map<std::string, Occupancy> occupancies; ///< by scope
         std::map<std::uint32_t, Refusals> refusals;   ///< by priority
+        bool isNearlyFull{ false };                   ///< at the last decision
+        TimePoint decidedAt;                          ///< time of the last decision
+    };
+
+    /// Place of a priority among those whose requests arrive.
+    struct Rank
+    {
+        std::size_t place{ 0 };                      ///< 0 is the highest
+        std::size_t lowest{ 0 };                     ///< place of the lowest
+        std::optional<Milliseconds> higherObjective; ///< smallest of the higher places
     };
 
-    static std::size_t rankOf(const Service &service, std::uint32_t priority);
-    static std::optional<Milliseconds> higherObjective(const Service &service, std::size_t rank);
+    static Rank rankOf(const Service &service, std::uint32_t priority, TimePoint now);
     static double highestOccupancy(const Service &service);
     const Occupancy *observe(Service &service, const ServiceLoad &load, TimePoint now) const;
-    double rangeStart(const Service &service, std::size_t rank) const;
+    double rangeStart(const Rank &rank) const;
     double shareAbove(double start, double widths, double occupancy) const;
     static FloatMilliseconds drainTime(const Occupancy &occupancy, double rangeStart);
     AdmissionDecision refusal(const char *reason, FloatMilliseconds drainTime);
