Start a new period when progress is first expected of a client

Cause: the period in which a client must make progress went on from times in which none was expected of it: idle time, the run of a request, a pause of the process. A keep-alive connection that had been idle was shed in the middle of a body that came at full speed, and an answer 1 ms after it was queued. leastActive also chose clients with an answer. Change: a new period starts with each request, with a reservation that is granted at once and when full protection ends; a period longer than two is not judged; leastActive chooses only holders without protection.

--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -452,6 +452,7 @@
             this->receivedHeadBytes = 0;
             this->declaredBytes.reset();
             this->enterPhase(Phase::head);
+            this->shared->memory.restartProgress(this->holder, bootNow());
         }
         const std::size_t consumed = this->reader.feed(bytes);
         if (this->phase == Phase::head)
@@ -598,7 +599,7 @@
             protection = this->responseEnded || this->pendingBytes() > kMaxUnreadBytes
                                  ? Protection::unlessSlow
                                  : Protection::full;
-        this->shared->memory.setProtection(this->holder, protection);
+        this->shared->memory.setProtection(this->holder, protection, bootNow());
     }
 
     /// Passes the complete request to the handler.
--- a/src/request_memory.cpp
+++ b/src/request_memory.cpp
@@ -95,9 +95,26 @@
     this->count(holder, true);
 }
 
-void RequestMemory::setProtection(HolderId id, Protection protection)
+void RequestMemory::setProtection(HolderId id, Protection protection, TimePoint now)
 {
-    this->holders.at(id).protection = protection;
+    Holder &holder = this->holders.at(id);
+    if (holder.protection == Protection::full && protection != Protection::full)
+        restartProgress(holder, now);
+    holder.protection = protection;
+}
+
+void RequestMemory::restartProgress(Holder &holder, TimePoint now)
+{
+    holder.isSlow = false;
+    holder.periodStart = now;
+    holder.periodBytes = 0;
+}
+
+void RequestMemory::restartProgress(HolderId id, TimePoint now)
+{
+    const auto found = this->holders.find(id);
+    if (found != this->holders.end())
+        restartProgress(found->second, now);
 }
 
 bool RequestMemory::mayGiveWay(const Holder &holder)
@@ -120,6 +137,7 @@
         this->count(holder, false);
         holder.reservation = wanted;
         this->count(holder, true);
+        restartProgress(holder, now);
         return true;
     }
     this->waiterCount += holder.wanted == 0 ? 1 : 0;
@@ -151,8 +169,11 @@
     for (auto &[id, holder] : this->holders) {
         if (now - holder.periodStart < this->options.progressPeriod)
             continue;
-        // The server doesn't read from a holder that waits for a reservation.
-        holder.isSlow = holder.wanted == 0 && holder.periodBytes < this->options.minProgressBytes;
+        // A process that stood still has read nothing, which is no fault of the clients. The server
+        // doesn't read either from a holder that waits for a reservation.
+        if (now - holder.periodStart <= 2 * this->options.progressPeriod)
+            holder.isSlow =
+                    holder.wanted == 0 && holder.periodBytes < this->options.minProgressBytes;
         holder.periodStart = now;
         holder.periodBytes = 0;
     }
@@ -227,9 +248,7 @@
         holder.reservation = std::exchange(holder.wanted, 0);
         this->count(holder, true);
         --this->waiterCount;
-        holder.isSlow = false;
-        holder.periodStart = now;
-        holder.periodBytes = 0;
+        restartProgress(holder, now);
         changes.granted.push_back(first->first);
     }
     return std::nullopt;
@@ -287,7 +306,7 @@
     std::size_t chosenCount = 0;
     for (const auto &[id, holder] : this->holders) {
         const std::size_t count = countByAddress[holder.address];
-        if (mayGiveWay(holder) && holder.isSlow && count > chosenCount) {
+        if (holder.protection == Protection::none && holder.isSlow && count > chosenCount) {
             chosen = id;
             chosenCount = count;
         }
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -71,12 +71,17 @@
     /// Sets the bytes that a holder has allocated. Precondition: `id` is a holder.
     void setBytes(HolderId id, std::size_t bytes);
 
-    /// Sets when a holder gives way; `none` at first. Precondition: `id` is a holder.
-    void setProtection(HolderId id, Protection protection);
+    /// Sets when a holder gives way; `none` at first. A holder that was fully protected starts a
+    /// new period, because nobody expected progress of it before. Precondition: `id` is a holder.
+    void setProtection(HolderId id, Protection protection, TimePoint now);
 
     /// Reports bytes that a client has sent or taken. Precondition: `id` is a holder.
     void onProgress(HolderId id, std::size_t bytes);
 
+    /// Starts a new period for a holder of which progress is expected from now on, for example
+    /// because a request begins. Unknown ids are ignored.
+    void restartProgress(HolderId id, TimePoint now);
+
     /// Asks for a reservation of `bytes`. Returns true if it is granted at once; otherwise the
     /// holder waits until `update` grants it. Precondition: `id` is a holder that has asked for no
     /// reservation yet.
@@ -102,8 +107,8 @@
     bool isShort() const;
     bool hasWaiters() const { return this->waiterCount > 0; }
 
-    /// The holder whose connection is closed to make room for another one: one that makes no
-    /// progress, of the address with most holders. Empty if there is none. The caller removes it.
+    /// The holder whose connection is closed to make room for another one: one without protection
+    /// that makes no progress, of the address with most holders. Empty if there is none. The caller removes it.
     std::optional<HolderId> leastActive(TimePoint now);
 
     std::size_t totalBytes() const { return this->reservedBytes + this->smallBytes; }
@@ -126,6 +131,7 @@
 
     static std::size_t charge(const Holder &holder);
     static bool mayGiveWay(const Holder &holder);
+    static void restartProgress(Holder &holder, TimePoint now);
     std::size_t maxReservedBytes() const;
     /// Adds (`sign` 1) or removes (-1) the charge of a holder.
     void count(const Holder &holder, bool isAdded);
