--- a/src/request_memory.cpp
+++ b/src/request_memory.cpp
@@ -89,7 +89,10 @@
 
 void RequestMemory::setBytes(HolderId id, std::size_t bytes)
 {
-    Holder &holder = this->holders.at(id);
+    const auto found = this->holders.find(id);
+    if (found == this->holders.end())
+        return;
+    Holder &holder = found->second;
     this->count(holder, false);
     holder.bytes = bytes;
     this->count(holder, true);
@@ -97,7 +100,10 @@
 
 void RequestMemory::setProtection(HolderId id, Protection protection, TimePoint now)
 {
-    Holder &holder = this->holders.at(id);
+    const auto found = this->holders.find(id);
+    if (found == this->holders.end())
+        return;
+    Holder &holder = found->second;
     if (holder.protection == Protection::full && protection != Protection::full)
         restartProgress(holder, now);
     holder.protection = protection;
@@ -125,7 +131,9 @@
 
 void RequestMemory::onProgress(HolderId id, std::size_t bytes)
 {
-    this->holders.at(id).periodBytes += bytes;
+    const auto found = this->holders.find(id);
+    if (found != this->holders.end())
+        found->second.periodBytes += bytes;
 }
 
 bool RequestMemory::reserve(HolderId id, std::size_t bytes, TimePoint now)
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -68,14 +68,14 @@
     /// Removes a holder with its bytes and its reservation; unknown ids are ignored.
     void remove(HolderId id);
 
-    /// Sets the bytes that a holder has allocated. Precondition: `id` is a holder.
+    /// Sets the bytes that a holder has allocated. Unknown ids are ignored.
     void setBytes(HolderId id, std::size_t bytes);
 
     /// Sets when a holder gives way; `none` at first. A holder that was fully protected starts a
-    /// new period, because nobody expected progress of it before. Precondition: `id` is a holder.
+    /// new period, because nobody expected progress of it before. Unknown ids are ignored.
     void setProtection(HolderId id, Protection protection, TimePoint now);
 
-    /// Reports bytes that a client has sent or taken. Precondition: `id` is a holder.
+    /// Reports bytes that a client has sent or taken. Unknown ids are ignored.
     void onProgress(HolderId id, std::size_t bytes);
 
     /// Starts a new period for a holder of which progress is expected from now on, for example
--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -178,6 +178,19 @@
     EXPECT_EQ(memory.totalBytes(), 0U);
 }
 
+// Guards against an exception when a write ends after its holder was shed.
+TEST(RequestMemory, RemovedHoldersAreIgnored)
+{
+    RequestMemory memory(kOptions);
+    const auto id = memory.add("a", kStart);
+    memory.remove(id);
+    memory.setBytes(id, kBodyBytes);
+    memory.setProtection(id, Protection::full, kStart);
+    memory.onProgress(id, kBodyBytes);
+    memory.restartProgress(id, kStart);
+    EXPECT_EQ(memory.totalBytes(), 0U);
+}
+
 // Guards against a total that drifts from what is held, and against holders beyond the limits.
 RC_GTEST_PROP(RequestMemory, KeepsToItsLimits, ())
 {
