Count what the heads of requests hold

Cause: a head was counted by its size on the wire. 16 KB of lines 'a:b' hold 266 KB, and a connection held its head also while it was idle, besides the copy in the request. Change: the reader counts the allocations of a head as they are made; the head is moved to the request, whose lease counts it, and released once the response has been written. A body that holds its reservation is run also when memory is short for small requests, because its part is separate.

--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -270,6 +270,7 @@
         this->removeHolder();
         this->body = {};
         this->unparsedInput = {};
+        this->reader.reset();
         std::error_code ignored;
         this->socket.close(ignored);
         if (wasServing && this->disconnectHandler)
@@ -363,7 +364,7 @@
                           + "\r\n");
     }
 
-    bool isHeadRequest() const { return this->reader.head().method == "HEAD"; }
+    bool isHeadRequest() const { return this->answersHeadRequest; }
 
     void endResponse()
     {
@@ -449,19 +450,16 @@
             this->reader.setBounds(this->shared->options.bounds.maxHeadBytes,
                                    this->shared->options.bounds.maxBodyBytes);
             this->hasReservation = false;
-            this->receivedHeadBytes = 0;
             this->declaredBytes.reset();
             this->enterPhase(Phase::head);
             this->shared->memory.restartProgress(this->holder, bootNow());
         }
         const std::size_t consumed = this->reader.feed(bytes);
-        if (this->phase == Phase::head)
-            this->receivedHeadBytes += consumed;
         if (this->phase == Phase::head && this->reader.hasHead()) {
             this->enterPhase(Phase::body);
             if (!this->validateHead())
                 return bytes.size();
-            this->receivedHeadBytes -= std::min(this->receivedHeadBytes, this->bufferBody());
+            this->bufferBody();
         } else if (this->phase == Phase::body) {
             this->bufferBody();
         }
@@ -523,7 +521,8 @@
     bool hasRoomToRun()
     {
         this->updateHeldBytes();
-        if (!this->shared->memory.isShort())
+        // Room for a body with a reservation has been kept since it began.
+        if (this->hasReservation || !this->shared->memory.isShort())
             return true;
         const std::uint64_t requestNumberBefore = this->requestNumber;
         this->shared->updateMemory();
@@ -552,8 +551,7 @@
     }
 
     /// Moves the parsed body bytes to `body`. The buffer never grows beyond what is reserved.
-    /// Returns the number of bytes.
-    std::size_t bufferBody()
+    void bufferBody()
     {
         const std::string part = this->reader.takeBody();
         const std::size_t needed = this->body.size() + part.size();
@@ -569,7 +567,6 @@
             this->body.swap(grown);
         }
         this->body += part;
-        return part.size();
     }
 
     void addHolder()
@@ -589,7 +586,7 @@
     {
         if (this->holder == 0)
             return;
-        this->shared->memory.setBytes(this->holder, kConnectionBytes + this->receivedHeadBytes
+        this->shared->memory.setBytes(this->holder, kConnectionBytes + this->reader.headCapacity()
                                                             + this->body.capacity()
                                                             + this->unparsedInput.capacity()
                                                             + this->queuedOutput.capacity()
@@ -613,6 +610,7 @@
         this->waitsForMemory = this->hasReservation = false;
         this->body = {};
         this->unparsedInput = {};
+        this->reader.reset();
         // Releases the reservation at once.
         this->removeHolder();
         this->addHolder();
@@ -663,6 +661,7 @@
         this->responseEnded = false;
         if (!this->keepsAlive)
             return this->linger();
+        this->reader.reset(); // releases the head
         this->enterPhase(Phase::idle);
         if (!this->unparsedInput.empty())
             this->parseBuffered();
@@ -693,7 +692,6 @@
     RequestMemory::HolderId holder{ 0 }; ///< 0: closed
     std::string unparsedInput;
     std::string body;
-    std::size_t receivedHeadBytes{ 0 };       ///< size of the request's head as far as received
     std::optional<std::size_t> declaredBytes; ///< Content-Length of the request
     bool hasReservation{ false };             ///< memory for the whole body is reserved
     bool waitsForMemory{ false };             ///< waits for the reservation; nothing is read
@@ -701,6 +699,7 @@
     std::string queuedOutput;
     std::string outputInFlight;
     bool isChunked{ false };
+    bool answersHeadRequest{ false }; ///< the request that is served has the method HEAD
     bool keepsAlive{ true };
     bool responseEnded{ false };      ///< the complete response is queued or written
     std::uint64_t requestNumber{ 0 }; ///< number of the last dispatched or rejected request
@@ -789,20 +788,24 @@
 
 void Connection::dispatch()
 {
-    const HttpHead &head = this->reader.head();
+    const std::size_t headCapacity = this->reader.headCapacity();
+    HttpHead head = this->reader.takeHead();
+    this->answersHeadRequest = head.method == "HEAD";
     this->keepsAlive = head.keepsAlive && !this->shared->isKeepAliveDisabled;
     this->enterPhase(Phase::serving);
     const auto query = head.target.find('?');
-    HttpRequest request{ .method = head.method,
-                         .target = head.target,
-                         .path = head.target.substr(0, query),
-                         .headers = head.headers,
+    std::string path = head.target.substr(0, query);
+    HttpRequest request{ .method = std::move(head.method),
+                         .target = std::move(head.target),
+                         .path = std::move(path),
+                         .headers = std::move(head.headers),
                          .body = std::exchange(this->body, {}) };
     if (request.body.capacity() > kMaxSpareFactor * request.body.size() + kMaxIdleCapacity)
         request.body.shrink_to_fit();
     RequestMemory &memory = this->shared->memory;
     const auto requestHolder = memory.moveToRequest(
-            this->holder, request.body.capacity() + this->receivedHeadBytes, bootNow());
+            this->holder, request.body.capacity() + request.path.capacity() + headCapacity,
+            bootNow());
     this->updateHeldBytes();
     this->shared->handler(std::move(request),
                           std::make_shared<ConnectionReply>(
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -21,6 +21,13 @@
                                                                "transfer-encoding",
                                                                "upgrade" };
 
+/// Bytes that a string has allocated; short ones are stored in the object itself.
+std::size_t allocatedBytes(const std::string &text)
+{
+    static const std::size_t inlineCapacity = std::string().capacity();
+    return text.capacity() > inlineCapacity ? text.capacity() + 1 : 0;
+}
+
 char toLower(char c)
 {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -93,7 +100,7 @@
     this->parser.data = this;
     this->currentHead = {};
     this->body.clear();
-    this->headBytes = this->bodyBytes = 0;
+    this->headBytes = this->headStringBytes = this->bodyBytes = 0;
     this->lastCallbackWasValue = this->headComplete = this->messageComplete = this->isInterim =
             false;
     this->hasNoBody = false;
@@ -170,9 +177,23 @@
     return callbacks;
 }
 
+HttpHead HttpReader::takeHead()
+{
+    this->headStringBytes = 0;
+    return std::exchange(this->currentHead, {});
+}
+
+void HttpReader::appendToHead(std::string &text, const char *data, std::size_t size)
+{
+    this->headStringBytes -= allocatedBytes(text);
+    text.append(data, size);
+    this->headStringBytes += allocatedBytes(text);
+}
+
 int HttpReader::onUrl(http_parser *parser, const char *data, std::size_t size)
 {
-    fromParser(parser).currentHead.target.append(data, size);
+    HttpReader &reader = fromParser(parser);
+    reader.appendToHead(reader.currentHead.target, data, size);
     return 0;
 }
 
@@ -184,7 +205,7 @@
     if (reader.lastCallbackWasValue || reader.currentHead.headers.empty())
         reader.currentHead.headers.emplace_back();
     reader.lastCallbackWasValue = false;
-    reader.currentHead.headers.back().first.append(data, size);
+    reader.appendToHead(reader.currentHead.headers.back().first, data, size);
     return 0;
 }
 
@@ -194,7 +215,7 @@
     if (reader.headComplete)
         return 0;
     reader.lastCallbackWasValue = true;
-    reader.currentHead.headers.back().second.append(data, size);
+    reader.appendToHead(reader.currentHead.headers.back().second, data, size);
     return 0;
 }
 
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -78,6 +78,16 @@
     bool isComplete() const { return this->messageComplete; }
     HttpFault fault() const { return this->currentFault; }
     const HttpHead &head() const { return this->currentHead; }
+    /// Moves the head out of the reader, which holds an empty one until the next `reset`.
+    /// Precondition: the message is complete.
+    HttpHead takeHead();
+    /// Bytes that are allocated for the head. Short headers take far more than they have on the
+    /// wire.
+    std::size_t headCapacity() const
+    {
+        return this->headStringBytes
+               + this->currentHead.headers.capacity() * sizeof(HttpHeaders::value_type);
+    }
 
     /// Returns the body bytes parsed since the last call.
     std::string takeBody() { return std::exchange(this->body, {}); }
@@ -92,6 +102,8 @@
     static HttpReader &fromParser(http_parser *parser);
     static const http_parser_settings &parserCallbacks();
 
+    /// Appends to a string of the head.
+    void appendToHead(std::string &text, const char *data, std::size_t size);
     /// Evaluates a complete head. Returns a result for http_parser: -1 rejects the message,
     /// 1 means that no body follows, 0 continues.
     int processHead();
@@ -101,6 +113,7 @@
     HttpHead currentHead;
     std::string body;
     std::size_t headBytes{ 0 };         ///< bytes of the heads parsed so far, with interim ones
+    std::size_t headStringBytes{ 0 };   ///< allocated by the strings of the head
     std::size_t bodyBytes{ 0 };         ///< bytes of the current body parsed so far
     bool lastCallbackWasValue{ false }; ///< the next onHeaderField call starts a new header
     bool headComplete{ false };
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -69,6 +69,24 @@
     EXPECT_EQ(twoLengths.fault(), HttpFault::malformed);
 }
 
+// Guards against heads whose memory is far larger than their size on the wire.
+TEST(HttpReader, CountsWhatAHeadHolds)
+{
+    HttpReader reader({ .kind = HttpMessageKind::request });
+    std::string text = "GET / HTTP/1.1\r\nLong: " + std::string(500, 'x') + "\r\n";
+    constexpr std::size_t lineCount = 1000;
+    for (std::size_t i = 0; i < lineCount; ++i)
+        text += "a:b\r\n";
+    for (const char c : text)
+        reader.feed(std::string_view(&c, 1));
+    reader.feed("\r\n");
+    ASSERT_TRUE(reader.isComplete());
+    EXPECT_GE(reader.headCapacity(), lineCount * sizeof(HttpHeaders::value_type) + 500);
+    const HttpHead head = reader.takeHead();
+    EXPECT_EQ(head.headers.size(), lineCount + 1);
+    EXPECT_EQ(reader.headCapacity(), 0U);
+}
+
 TEST(HttpReader, LimitsHeadAndBodySize)
 {
     HttpReader head({ .kind = HttpMessageKind::request, .maxHeadBytes = 64 });
