Measure the progress of answers by part; notice disconnects of paused clients

Causes: progress of a client that reads its answer was reported when the whole answer had been written, so that a large one looked stalled. While reading was paused, a disconnect went unnoticed and the request went on. Idle connections were closed although a request had arrived. Under shortage, each request and each connection beyond the limit caused a search through all clients. Change: async_write reports each part; reading pauses for shortage only behind pipelined input, and the deadline check polls paused sockets for POLLRDHUP; connections with unread input stay; a search without result isn't repeated for 20 ms (requests) or 50 ms (connections).

--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "request_memory.h"
 
+#include <asio/completion_condition.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <charconv>
 #include <deque>
 #include <map>
+#include <poll.h>
 #include <set>
 
 namespace egret {
@@ -29,7 +31,7 @@
 /// One of this number of reads is from a connection with a large body while others are readable.
 constexpr std::uint64_t kReadsPerLargeBody = 4;
 /// Reading from a connection pauses while more unparsed bytes than this are buffered.
-constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
 /// Buffers beyond this capacity are released when they become empty.
 constexpr std::size_t kMaxIdleCapacity = 4U << 10U;
 /// Memory of a connection besides its buffers: the objects of the connection, its reader and its
@@ -44,6 +46,11 @@
 constexpr Milliseconds kGrantPeriod = 20ms;
 /// Period within which at most one log line is written for each limit.
 constexpr Milliseconds kLogPeriod = 1s;
+/// Connections that are examined to make room for a new one. Those with unread input stay.
+constexpr int kMaxRoomCandidates = 8;
+/// Period after a search for room without result in which new connections are closed without
+/// another search, which would examine all clients.
+constexpr Milliseconds kNoRoomPeriod = 50ms;
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 constexpr Milliseconds kAcceptRetryDelay = 50ms;
 /// Sent with status 503 when memory is short.
@@ -94,6 +101,16 @@
     /// Carries out what the memory's holders must do.
     void updateMemory();
 
+    /// True when memory is short and can't be relieved; updates it at most once per kGrantPeriod.
+    bool isExhausted()
+    {
+        if (!this->memory.isShort())
+            return false;
+        if (bootNow() >= this->exhaustedUntil)
+            this->updateMemory();
+        return this->memory.isShort();
+    }
+
     /// Updates the memory every kGrantPeriod until no connection waits for memory.
     void grantSoon()
     {
@@ -190,6 +207,7 @@
     std::deque<ConnectionPtr> readable;    ///< without those in `largeBodies`
     std::deque<ConnectionPtr> largeBodies; ///< readable connections with a large body
     std::uint64_t readCount{ 0 };
+    TimePoint exhaustedUntil; ///< another update of the memory would relieve nothing
     bool isTurnScheduled{ false };
     bool isGrantScheduled{ false };
     bool isStopped{ false };
@@ -244,14 +262,24 @@
     /// Closes this connection if no byte of a request is received or buffered.
     void closeIfIdle()
     {
-        if (this->phase == Phase::idle && this->unparsedInput.empty())
+        if (this->phase == Phase::idle && this->unparsedInput.empty() && !this->hasUnreadInput())
             this->linger();
     }
 
+    /// True when bytes have arrived that are not read yet, for example of a request.
+    bool hasUnreadInput() const
+    {
+        std::error_code ignored;
+        return this->socket.available(ignored) > 0;
+    }
+
     void checkDeadline(TimePoint now)
     {
-        if (this->phase == Phase::serving)
+        if (this->phase == Phase::serving) {
             this->scheduleRead(); // reading may have paused while memory was short
+            if (!this->readInFlight && this->isPeerClosed())
+                return this->close();
+        }
         if (now < this->phaseDeadline || this->phase == Phase::serving || this->waitsForMemory)
             return;
         if (this->phase == Phase::head || this->phase == Phase::body)
@@ -308,6 +336,10 @@
     {
         const bool isReceiving = this->phase == Phase::head || this->phase == Phase::body;
         this->removeHolder();
+        // Closing the connection would break off a request that has arrived. Once it is read, it
+        // is served or refused.
+        if (this->phase == Phase::idle && this->hasUnreadInput())
+            return this->addHolder();
         if (!isReceiving) {
             this->shared->onLimit(limit);
             return this->close();
@@ -389,13 +421,22 @@
         this->phaseDeadline = bootNow() + limit;
     }
 
+    /// True when the client has closed the connection, also behind input that is not read yet.
+    bool isPeerClosed()
+    {
+        pollfd state{ .fd = this->socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
+        return ::poll(&state, 1, 0) > 0;
+    }
+
     /// Waits until the socket is readable. Reading pauses while the body waits for memory, and
-    /// while a request is served as long as many pipelined bytes are held or memory is short.
+    /// while a request is served as long as many pipelined bytes are held, or some while memory is
+    /// short. The deadline check notices a disconnect while reading is paused.
     void scheduleRead()
     {
         const bool isPaused = this->waitsForMemory
                               || this->unparsedInput.size() > kMaxPipelinedBytes
-                              || (this->phase == Phase::serving && this->shared->memory.isShort());
+                              || (this->phase == Phase::serving && !this->unparsedInput.empty()
+                                  && this->shared->memory.isShort());
         if (this->readInFlight || this->phase == Phase::closed || isPaused)
             return;
         this->readInFlight = true;
@@ -525,9 +566,9 @@
         if (this->hasReservation || !this->shared->memory.isShort())
             return true;
         const std::uint64_t requestNumberBefore = this->requestNumber;
-        this->shared->updateMemory();
+        const bool isExhausted = this->shared->isExhausted();
         const bool isRefused = this->requestNumber != requestNumberBefore || this->isClosed();
-        if (isRefused || !this->shared->memory.isShort())
+        if (isRefused || !isExhausted)
             return !isRefused;
         this->rejectRequest(503, ClientLimit::memory);
         return false;
@@ -637,16 +678,22 @@
             || this->phase == Phase::closed)
             return;
         this->outputInFlight.swap(this->queuedOutput);
+        this->reportedOutput = 0;
+        // Progress is reported with each part that the client takes: a large answer takes longer
+        // than the period in which a client must make progress.
         asio::async_write(
                 this->socket, asio::buffer(this->outputInFlight),
                 [self = this->shared_from_this()](const std::error_code &error, std::size_t size) {
+                    self->shared->memory.onProgress(
+                            self->holder, size - std::exchange(self->reportedOutput, size));
+                    return asio::transfer_all()(error, size);
+                },
+                [self = this->shared_from_this()](const std::error_code &error, std::size_t) {
                     self->outputInFlight.clear();
                     if (self->outputInFlight.capacity() > kMaxIdleCapacity)
                         self->outputInFlight = {};
                     if (error)
                         return self->close();
-                    if (self->phase != Phase::closed)
-                        self->shared->memory.onProgress(self->holder, size);
                     self->flush();
                     self->updateHeldBytes();
                     if (self->responseEnded && self->outputInFlight.empty())
@@ -698,6 +745,7 @@
     bool expectsContinue{ false };            ///< 100 Continue has to be sent before the body
     std::string queuedOutput;
     std::string outputInFlight;
+    std::size_t reportedOutput{ 0 }; ///< bytes of `outputInFlight` reported as progress
     bool isChunked{ false };
     bool answersHeadRequest{ false }; ///< the request that is served has the method HEAD
     bool keepsAlive{ true };
@@ -832,6 +880,8 @@
         if (const ConnectionPtr connection = connectionOf(holder))
             connection->giveWay(ClientLimit::memoryWait);
     }
+    if (this->memory.isShort())
+        this->exhaustedUntil = bootNow() + kGrantPeriod;
 }
 
 void SharedState::takeTurn()
@@ -951,20 +1001,30 @@
     {
         if (this->shared->openCount < this->shared->options.maxConnections)
             return true;
-        const auto holder = this->shared->memory.leastActive(bootNow());
-        if (!holder) {
-            this->shared->onLimit(ClientLimit::connections);
+        this->shared->onLimit(ClientLimit::connections);
+        const TimePoint now = bootNow();
+        if (now < this->noRoomUntil)
             return false;
+        for (int i = 0; i < kMaxRoomCandidates; ++i) {
+            const auto holder = this->shared->memory.leastActive(now);
+            if (!holder)
+                break;
+            const auto found = this->shared->connectionsByHolder.find(*holder);
+            const ConnectionPtr connection = found == this->shared->connectionsByHolder.end()
+                                                     ? nullptr
+                                                     : found->second.lock();
+            if (!connection)
+                break;
+            if (connection->hasUnreadInput()) {
+                this->shared->memory.restartProgress(*holder, now);
+                continue;
+            }
+            connection->close();
+            this->connections.erase(connection);
+            return true;
         }
-        const auto found = this->shared->connectionsByHolder.find(*holder);
-        const ConnectionPtr connection =
-                found == this->shared->connectionsByHolder.end() ? nullptr : found->second.lock();
-        if (!connection)
-            return false;
-        this->shared->onLimit(ClientLimit::connections);
-        connection->close();
-        this->connections.erase(connection);
-        return true;
+        this->noRoomUntil = now + kNoRoomPeriod;
+        return false;
     }
 
     void scheduleDeadlineCheck()
@@ -988,6 +1048,7 @@
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timer;
     asio::steady_timer acceptTimer;
+    TimePoint noRoomUntil; ///< no connection can be closed for another one
     std::shared_ptr<SharedState> shared;
     std::set<ConnectionPtr> connections;
     bool stopped{ false };
--- a/tests/http_frontend_test.cpp
+++ b/tests/http_frontend_test.cpp
@@ -264,6 +264,50 @@
     this->pool.run([&] { heldReply.reset(); });
 }
 
+// Guards against requests that go on for a client that has left, because reading is paused.
+TEST_F(HttpFrontendTest, DetectsADisconnectBehindPipelinedInput)
+{
+    constexpr std::size_t pipelinedBytes = 300U << 10U;
+    std::promise<void> disconnected;
+    AbortableReplyPtr heldReply;
+    this->handler = [&](HttpRequest &&, const AbortableReplyPtr &reply) {
+        heldReply = reply;
+        reply->onClientDisconnected([&disconnected] { disconnected.set_value(); });
+    };
+    {
+        auto socket = this->connect();
+        asio::write(socket, asio::buffer("GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+                                         + std::string(pipelinedBytes, 'x')));
+        while (this->handledRequests == 0)
+            std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_EQ(disconnected.get_future().wait_for(kWaitTimeout), std::future_status::ready);
+    this->pool.run([&] { heldReply.reset(); });
+}
+
+// Guards against a cut in an answer whose client reads it steadily while memory is short.
+TEST_F(HttpFrontendTest, ALargeAnswerIsReadAtTheClientsRate)
+{
+    constexpr std::size_t answerBytes = 16U << 20U;
+    constexpr std::size_t partBytes = 512U << 10U;
+    constexpr Milliseconds partPeriod{ 50 };
+    this->pool.run([this] { this->startFrontend({ .maxBufferedBytes = 4U << 20U }); });
+    this->handler = [](HttpRequest &&, const AbortableReplyPtr &reply) {
+        reply->send(200, "text/plain", std::string(answerBytes, 'x'), {});
+    };
+    auto socket = this->connect();
+    socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(partBytes)));
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string part(partBytes, '\0');
+    std::size_t received = 0;
+    std::error_code error;
+    while (received < answerBytes && !error) {
+        received += socket.read_some(asio::buffer(part), error);
+        std::this_thread::sleep_for(partPeriod);
+    }
+    EXPECT_FALSE(error) << error.message() << " after " << received << " bytes";
+}
+
 TEST_F(HttpFrontendTest, ADroppedReplyClosesTheConnection)
 {
     this->handler = [](HttpRequest &&, const AbortableReplyPtr &) {};
