--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -108,7 +108,8 @@
     bool hasWaiters() const { return this->waiterCount > 0; }
 
     /// The holder whose connection is closed to make room for another one: one without protection
-    /// that makes no progress, of the address with most holders. Empty if there is none. The caller removes it.
+    /// that makes no progress, of the address with most holders. Empty if there is none. The caller
+    /// removes it.
     std::optional<HolderId> leastActive(TimePoint now);
 
     std::size_t totalBytes() const { return this->reservedBytes + this->smallBytes; }
