--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -421,7 +421,8 @@
         this->phaseDeadline = bootNow() + limit;
     }
 
-    /// True when the client has closed the connection, also behind input that is not read yet.
+    /// True when the client has closed the connection, also behind unread input, as far as this
+    /// has arrived.
     bool isPeerClosed()
     {
         pollfd state{ .fd = this->socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
