--- a/src/http_frontend.cpp
+++ b/src/http_frontend.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "request_memory.h"
 
+#include <asio/completion_condition.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <charconv>
 #include <deque>
 #include <map>
+#include <poll.h>
 #include <set>
 
 namespace egret {
@@ -29,7 +31,7 @@
 /// One of this number of reads is from a connection with a large body while others are readable.
 constexpr std::uint64_t kReadsPerLargeBody = 4;
 /// Reading from a connection pauses while more unparsed bytes than this are buffered.
-constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
 /// Buffers beyond this capacity are released when they become empty.
 constexpr std::size_t kMaxIdleCapacity = 4U << 10U;
 /// Memory of a connection besides its buffers: the objects of the connection, its reader and its
@@ -44,6 +46,11 @@
 constexpr Milliseconds kGrantPeriod = 20ms;
 /// Period within which at most one log line is written for each limit.
 constexpr Milliseconds kLogPeriod = 1s;
+/// Connections that are examined to make room for a new one. Those with unread input stay.
+constexpr int kMaxRoomCandidates = 8;
+/// Period after a search for room without result in which new connections are closed without
+/// another search, which would examine all clients.
+constexpr Milliseconds kNoRoomPeriod = 50ms;
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 constexpr Milliseconds kAcceptRetryDelay = 50ms;
 /// Sent with status 503 when memory is short.
@@ -94,6 +101,16 @@
     /// Carries out what the memory's holders must do.
     void updateMemory();
 
+    /// True when memory is short and can't be relieved; updates it at most once per kGrantPeriod.
+    bool isExhausted()
+    {
+        if (!this->memory.isShort())
+            return false;
+        if (bootNow() >= this->exhaustedUntil)
+            this->updateMemory();
+        return this->memory.isShort();
+    }
+
     /// Updates the memory every kGrantPeriod until no connection waits for memory.
     void grantSoon()
     {
@@ -190,6 +207,7 @@
     std::deque<ConnectionPtr> readable;    ///< without those in `largeBodies`
     std::deque<ConnectionPtr> largeBodies; ///< readable connections with a large body
     std::uint64_t readCount{ 0 };
+    TimePoint exhaustedUntil; ///< another update of the memory would relieve nothing
     bool isTurnScheduled{ false };
     bool isGrantScheduled{ false };
     bool isStopped{ false };
@@ -244,14 +262,24 @@
     /// Closes this connection if no byte of a request is received or buffered.
     void closeIfIdle()
     {
-        if (this->phase == Phase::idle && this->unparsedInput.empty())
+        if (this->phase == Phase::idle && this->unparsedInput.empty() && !this->hasUnreadInput())
             this->linger();
     }
 
+    /// True when bytes have arrived that are not read yet, for example of a request.
+    bool hasUnreadInput() const
+    {
+        std::error_code ignored;
+        return this->socket.available(ignored) > 0;
+    }
+
     void checkDeadline(TimePoint now)
     {
-        if (this->phase == Phase::serving)
+        if (this->phase == Phase::serving) {
             this->scheduleRead(); // reading may have paused while memory was short
+            if (!this->readInFlight && this->isPeerClosed())
+                return this->close();
+        }
         if (now < this->phaseDeadline || this->phase == Phase::serving || this->waitsForMemory)
             return;
         if (this->phase == Phase::head || this->phase == Phase::body)
@@ -270,6 +298,7 @@
         this->removeHolder();
         this->body = {};
         this->unparsedInput = {};
+        this->reader.reset();
         std::error_code ignored;
         this->socket.close(ignored);
         if (wasServing && this->disconnectHandler)
@@ -307,6 +336,10 @@
     {
         const bool isReceiving = this->phase == Phase::head || this->phase == Phase::body;
         this->removeHolder();
+        // Closing the connection would break off a request that has arrived. Once it is read, it
+        // is served or refused.
+        if (this->phase == Phase::idle && this->hasUnreadInput())
+            return this->addHolder();
         if (!isReceiving) {
             this->shared->onLimit(limit);
             return this->close();
@@ -363,7 +396,7 @@
                           + "\r\n");
     }
 
-    bool isHeadRequest() const { return this->reader.head().method == "HEAD"; }
+    bool isHeadRequest() const { return this->answersHeadRequest; }
 
     void endResponse()
     {
@@ -388,13 +421,23 @@
         this->phaseDeadline = bootNow() + limit;
     }
 
+    /// True when the client has closed the connection, also behind unread input, as far as this
+    /// has arrived.
+    bool isPeerClosed()
+    {
+        pollfd state{ .fd = this->socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
+        return ::poll(&state, 1, 0) > 0;
+    }
+
     /// Waits until the socket is readable. Reading pauses while the body waits for memory, and
-    /// while a request is served as long as many pipelined bytes are held or memory is short.
+    /// while a request is served as long as many pipelined bytes are held, or some while memory is
+    /// short. The deadline check notices a disconnect while reading is paused.
     void scheduleRead()
     {
         const bool isPaused = this->waitsForMemory
                               || this->unparsedInput.size() > kMaxPipelinedBytes
-                              || (this->phase == Phase::serving && this->shared->memory.isShort());
+                              || (this->phase == Phase::serving && !this->unparsedInput.empty()
+                                  && this->shared->memory.isShort());
         if (this->readInFlight || this->phase == Phase::closed || isPaused)
             return;
         this->readInFlight = true;
@@ -449,18 +492,16 @@
             this->reader.setBounds(this->shared->options.bounds.maxHeadBytes,
                                    this->shared->options.bounds.maxBodyBytes);
             this->hasReservation = false;
-            this->receivedHeadBytes = 0;
             this->declaredBytes.reset();
             this->enterPhase(Phase::head);
+            this->shared->memory.restartProgress(this->holder, bootNow());
         }
         const std::size_t consumed = this->reader.feed(bytes);
-        if (this->phase == Phase::head)
-            this->receivedHeadBytes += consumed;
         if (this->phase == Phase::head && this->reader.hasHead()) {
             this->enterPhase(Phase::body);
             if (!this->validateHead())
                 return bytes.size();
-            this->receivedHeadBytes -= std::min(this->receivedHeadBytes, this->bufferBody());
+            this->bufferBody();
         } else if (this->phase == Phase::body) {
             this->bufferBody();
         }
@@ -522,12 +563,13 @@
     bool hasRoomToRun()
     {
         this->updateHeldBytes();
-        if (!this->shared->memory.isShort())
+        // Room for a body with a reservation has been kept since it began.
+        if (this->hasReservation || !this->shared->memory.isShort())
             return true;
         const std::uint64_t requestNumberBefore = this->requestNumber;
-        this->shared->updateMemory();
+        const bool isExhausted = this->shared->isExhausted();
         const bool isRefused = this->requestNumber != requestNumberBefore || this->isClosed();
-        if (isRefused || !this->shared->memory.isShort())
+        if (isRefused || !isExhausted)
             return !isRefused;
         this->rejectRequest(503, ClientLimit::memory);
         return false;
@@ -551,8 +593,7 @@
     }
 
     /// Moves the parsed body bytes to `body`. The buffer never grows beyond what is reserved.
-    /// Returns the number of bytes.
-    std::size_t bufferBody()
+    void bufferBody()
     {
         const std::string part = this->reader.takeBody();
         const std::size_t needed = this->body.size() + part.size();
@@ -568,7 +609,6 @@
             this->body.swap(grown);
         }
         this->body += part;
-        return part.size();
     }
 
     void addHolder()
@@ -588,7 +628,7 @@
     {
         if (this->holder == 0)
             return;
-        this->shared->memory.setBytes(this->holder, kConnectionBytes + this->receivedHeadBytes
+        this->shared->memory.setBytes(this->holder, kConnectionBytes + this->reader.headCapacity()
                                                             + this->body.capacity()
                                                             + this->unparsedInput.capacity()
                                                             + this->queuedOutput.capacity()
@@ -598,7 +638,7 @@
             protection = this->responseEnded || this->pendingBytes() > kMaxUnreadBytes
                                  ? Protection::unlessSlow
                                  : Protection::full;
-        this->shared->memory.setProtection(this->holder, protection);
+        this->shared->memory.setProtection(this->holder, protection, bootNow());
     }
 
     /// Passes the complete request to the handler.
@@ -612,6 +652,7 @@
         this->waitsForMemory = this->hasReservation = false;
         this->body = {};
         this->unparsedInput = {};
+        this->reader.reset();
         // Releases the reservation at once.
         this->removeHolder();
         this->addHolder();
@@ -638,16 +679,22 @@
             || this->phase == Phase::closed)
             return;
         this->outputInFlight.swap(this->queuedOutput);
+        this->reportedOutput = 0;
+        // Progress is reported with each part that the client takes: a large answer takes longer
+        // than the period in which a client must make progress.
         asio::async_write(
                 this->socket, asio::buffer(this->outputInFlight),
                 [self = this->shared_from_this()](const std::error_code &error, std::size_t size) {
+                    self->shared->memory.onProgress(
+                            self->holder, size - std::exchange(self->reportedOutput, size));
+                    return asio::transfer_all()(error, size);
+                },
+                [self = this->shared_from_this()](const std::error_code &error, std::size_t) {
                     self->outputInFlight.clear();
                     if (self->outputInFlight.capacity() > kMaxIdleCapacity)
                         self->outputInFlight = {};
                     if (error)
                         return self->close();
-                    if (self->phase != Phase::closed)
-                        self->shared->memory.onProgress(self->holder, size);
                     self->flush();
                     self->updateHeldBytes();
                     if (self->responseEnded && self->outputInFlight.empty())
@@ -662,6 +709,7 @@
         this->responseEnded = false;
         if (!this->keepsAlive)
             return this->linger();
+        this->reader.reset(); // releases the head
         this->enterPhase(Phase::idle);
         if (!this->unparsedInput.empty())
             this->parseBuffered();
@@ -692,14 +740,15 @@
     RequestMemory::HolderId holder{ 0 }; ///< 0: closed
     std::string unparsedInput;
     std::string body;
-    std::size_t receivedHeadBytes{ 0 };       ///< size of the request's head as far as received
     std::optional<std::size_t> declaredBytes; ///< Content-Length of the request
     bool hasReservation{ false };             ///< memory for the whole body is reserved
     bool waitsForMemory{ false };             ///< waits for the reservation; nothing is read
     bool expectsContinue{ false };            ///< 100 Continue has to be sent before the body
     std::string queuedOutput;
     std::string outputInFlight;
+    std::size_t reportedOutput{ 0 }; ///< bytes of `outputInFlight` reported as progress
     bool isChunked{ false };
+    bool answersHeadRequest{ false }; ///< the request that is served has the method HEAD
     bool keepsAlive{ true };
     bool responseEnded{ false };      ///< the complete response is queued or written
     std::uint64_t requestNumber{ 0 }; ///< number of the last dispatched or rejected request
@@ -788,20 +837,24 @@
 
 void Connection::dispatch()
 {
-    const HttpHead &head = this->reader.head();
+    const std::size_t headCapacity = this->reader.headCapacity();
+    HttpHead head = this->reader.takeHead();
+    this->answersHeadRequest = head.method == "HEAD";
     this->keepsAlive = head.keepsAlive && !this->shared->isKeepAliveDisabled;
     this->enterPhase(Phase::serving);
     const auto query = head.target.find('?');
-    HttpRequest request{ .method = head.method,
-                         .target = head.target,
-                         .path = head.target.substr(0, query),
-                         .headers = head.headers,
+    std::string path = head.target.substr(0, query);
+    HttpRequest request{ .method = std::move(head.method),
+                         .target = std::move(head.target),
+                         .path = std::move(path),
+                         .headers = std::move(head.headers),
                          .body = std::exchange(this->body, {}) };
     if (request.body.capacity() > kMaxSpareFactor * request.body.size() + kMaxIdleCapacity)
         request.body.shrink_to_fit();
     RequestMemory &memory = this->shared->memory;
     const auto requestHolder = memory.moveToRequest(
-            this->holder, request.body.capacity() + this->receivedHeadBytes, bootNow());
+            this->holder, request.body.capacity() + request.path.capacity() + headCapacity,
+            bootNow());
     this->updateHeldBytes();
     this->shared->handler(std::move(request),
                           std::make_shared<ConnectionReply>(
@@ -828,6 +881,8 @@
         if (const ConnectionPtr connection = connectionOf(holder))
             connection->giveWay(ClientLimit::memoryWait);
     }
+    if (this->memory.isShort())
+        this->exhaustedUntil = bootNow() + kGrantPeriod;
 }
 
 void SharedState::takeTurn()
@@ -947,20 +1002,30 @@
     {
         if (this->shared->openCount < this->shared->options.maxConnections)
             return true;
-        const auto holder = this->shared->memory.leastActive(bootNow());
-        if (!holder) {
-            this->shared->onLimit(ClientLimit::connections);
+        this->shared->onLimit(ClientLimit::connections);
+        const TimePoint now = bootNow();
+        if (now < this->noRoomUntil)
             return false;
+        for (int i = 0; i < kMaxRoomCandidates; ++i) {
+            const auto holder = this->shared->memory.leastActive(now);
+            if (!holder)
+                break;
+            const auto found = this->shared->connectionsByHolder.find(*holder);
+            const ConnectionPtr connection = found == this->shared->connectionsByHolder.end()
+                                                     ? nullptr
+                                                     : found->second.lock();
+            if (!connection)
+                break;
+            if (connection->hasUnreadInput()) {
+                this->shared->memory.restartProgress(*holder, now);
+                continue;
+            }
+            connection->close();
+            this->connections.erase(connection);
+            return true;
         }
-        const auto found = this->shared->connectionsByHolder.find(*holder);
-        const ConnectionPtr connection =
-                found == this->shared->connectionsByHolder.end() ? nullptr : found->second.lock();
-        if (!connection)
-            return false;
-        this->shared->onLimit(ClientLimit::connections);
-        connection->close();
-        this->connections.erase(connection);
-        return true;
+        this->noRoomUntil = now + kNoRoomPeriod;
+        return false;
     }
 
     void scheduleDeadlineCheck()
@@ -984,6 +1049,7 @@
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timer;
     asio::steady_timer acceptTimer;
+    TimePoint noRoomUntil; ///< no connection can be closed for another one
     std::shared_ptr<SharedState> shared;
     std::set<ConnectionPtr> connections;
     bool stopped{ false };
