Estimate speeds of plain services only, unless settings ask for engines

Change: serverSpeeds.includesEngines, false by default. A request adds at least 20 ms to the predicted wait, so that differences of a few milliseconds leave no engine unused.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -678,7 +678,11 @@
     void learnSpeed(const Exchange &exchange)
     {
         SpeedAnswer answer = exchange.speedAnswer;
-        if (exchange.service->engine && !answer.expected)
+        // A few milliseconds more, such as for a new connection, pass for slowness at an engine
+        // that is expected to begin within some 10 ms.
+        const bool isLearned = !exchange.service->engine
+                               || (this->settings.serverSpeeds.includesEngines && answer.expected);
+        if (!isLearned)
             return;
         const TimePoint now = bootNow();
         answer.measured = now - exchange.sentAt;
--- a/src/upstream_selector.cpp
+++ b/src/upstream_selector.cpp
@@ -44,9 +44,9 @@
 /// Cost difference that lowers the probability of a selection by a factor of e; small for the same
 /// reason.
 constexpr FloatMilliseconds kPlainCostSpread{ 2 };
-/// Lower bound of what another request adds to the wait at an engine, also where the plan names no
-/// times.
-constexpr FloatMilliseconds kMinWaitPerRequest{ 1 };
+/// Lower bound of what another request adds to the wait at an engine. With less, differences of a
+/// few milliseconds between predictions, which are off by tens, would leave an engine unused.
+constexpr FloatMilliseconds kMinWaitPerRequest{ 20 };
 /// Upper bound of a normal round trip. A longer round trip indicates low bandwidth, packet loss or
 /// an outage on the path and is added to the predicted latency.
 constexpr Milliseconds kNormalRoundTrip = 40ms;
