--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "crash_evidence.h"
 #include "crash_quarantine.h"
+#include "engine_model.h"
 #include "event_stream_merger.h"
 #include "gateway_retry_budgets.h"
 #include "http_frontend.h"
@@ -12,13 +13,18 @@
 #include "link.h"
 #include "log.h"
 #include "node_options.h"
+#include "overload_control.h"
 #include "piece_relay.h"
 #include "planned_stop.h"
 #include "program.h"
 #include "registry_node.h"
+#include "request_cost.h"
 #include "request_digest.h"
 #include "request_lifecycle.h"
+#include "request_memory.h"
+#include "server_speed.h"
 #include "slow_start_permits.h"
+#include "speed_observations.h"
 #include "upstream_selector.h"
 #include "version_deadlines.h"
 #include "view_reader.h"
@@ -51,6 +57,8 @@
 /// Retry-After value in the answer to a quarantined request or prompt segment. A quarantine
 /// that turns out to be wrong ends sooner; any other lasts for minutes.
 constexpr Milliseconds kQuarantineRetryAfter = 2s;
+/// Reason of the refusal of a request whose latency objective passed while it waited for an engine.
+constexpr const char *kOverloadLate = "overload-late";
 constexpr const char *kQuarantinedSegment = "quarantined-segment";
 constexpr const char *kQuarantinedRequest = "quarantined-request";
 /// An upstream in another region accepts a connection within a few milliseconds. Retransmission
@@ -79,6 +87,9 @@
 /// Time after a request's deadline at which a discarded answer is no longer read.
 constexpr Milliseconds kDiscardedAnswerGrace = 1s;
 constexpr int kMaxPriority = 9;
+/// Limit on the engine time of a request, in typical requests, when customers' shares are compared.
+/// Clients state the length of their prompts; one false length must not outweigh all others.
+constexpr double kMaxTypicalRequests = 10;
 constexpr const char *kEventStreamType = "text/event-stream";
 
 constexpr int kBadRequest = 400;
@@ -136,12 +147,17 @@
     bool isProbe{ false };         ///< admitted to test whether it, or a segment, still crashes
     std::string suspect;           ///< `requestSuspect` of the request; empty: not computed yet
     Milliseconds earlierWait{ 0 }; ///< estimated time that the client waited in earlier attempts
+    RequestCost cost;
+    bool wasOffered{ false }; ///< an upstream has been chosen, or looked for, before
+    bool isResumed{ false };  ///< an attempt continued a broken stream
 
     // The current attempt.
     std::uint64_t callId{ 0 };   ///< id of the call to the upstream, 0 when no call is in flight
     std::uint64_t permitId{ 0 }; ///< id of the permit request in flight, 0 for none
     std::string upstream;        ///< id of the chosen upstream
     TimePoint sentAt;
+    /// What the upstream's speed is estimated from when the answer arrives.
+    SpeedAnswer speedAnswer;
     std::uint64_t chosenVersion{ 0 }; ///< weights version of the upstream at the time of the choice
     HttpHead head;                    ///< status and headers of the upstream's answer
     AnswerMetadata answer;            ///< parsed from `head`
@@ -165,6 +181,8 @@
     std::uint64_t resumes{ 0 };
     std::uint64_t clientDisconnects{ 0 }; ///< disconnections before the end of the answer
     std::uint64_t piecesRelayed{ 0 };
+    /// Attempts at a time when no engine had room for the request within the limit on pauses.
+    std::uint64_t pauseLimitExceeded{ 0 };
     std::uint64_t slowStartSends{ 0 }; ///< requests sent to upstreams in slow start
     std::uint64_t limitedSends{ 0 };   ///< other requests sent with a permit
     std::uint64_t limitedAnswers{ 0 }; ///< answers that name a limit on the rate of requests
@@ -174,12 +192,72 @@
     std::uint64_t closedAfterBegin{ 0 };
 };
 
+HttpFrontendOptions frontendOptions(const NodeSettings &settings)
+{
+    const ClientLimits limits = clientLimits(settings.memoryMb, settings.fileDescriptors);
+    return { .listen = *Endpoint::parse(settings.clientAddress),
+             .maxConnections = limits.maxConnections,
+             .maxBufferedBytes = limits.maxBytes };
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+OverloadOptions overloadOptions(const NodeSettings &settings)
+{
+    return { .isEnabled = settings.admission.isEnabled,
+             .start = settings.admission.start,
+             .width = settings.admission.width,
+             .floor = settings.admission.floor };
+}
+
+/// Priority of a customer's requests to a route. `customer`: null for none.
+std::uint32_t effectivePriority(const PlanRoute &route, const PlanCustomer *customer)
+{
+    const std::uint32_t priority =
+            customer != nullptr && customer->priority ? *customer->priority : route.priority;
+    return std::min<std::uint32_t>(priority, kMaxPriority);
+}
+
+/// The distinct priorities that requests to a service may have, with the smallest objective of
+/// each.
+std::vector<PriorityObjective> servicePriorities(const ServingPlan &plan,
+                                                 const std::string &service)
+{
+    std::map<std::uint32_t, Milliseconds> objectives;
+    const auto add = [&objectives](std::uint32_t priority, Milliseconds objective) {
+        const auto [found, isNew] = objectives.try_emplace(priority, objective);
+        found->second = std::min(found->second, objective);
+    };
+    for (const PlanRoute &route : plan.routes) {
+        const bool isTarget = std::ranges::any_of(route.targets, [&](const PlanTarget &each) {
+            return each.service == service && each.weight > 0;
+        });
+        if (!isTarget)
+            continue;
+        add(effectivePriority(route, nullptr), route.objective);
+        for (const PlanCustomer &customer : plan.customers)
+            add(effectivePriority(route, &customer), route.objective);
+    }
+    std::vector<PriorityObjective> priorities;
+    priorities.reserve(objectives.size());
+    for (const auto &[priority, objective] : objectives)
+        priorities.push_back({ .priority = priority, .objective = objective });
+    return priorities;
+}
+
+/// Time of a full engine that a request takes, at most `kMaxTypicalRequests` times that of a
+/// typical one.
+FloatMilliseconds boundedEngineTime(const EngineSpec &engine, const RequestCost &cost)
+{
+    const EngineModel model(engine);
+    const RequestCost typical{ .promptTokens = engine.typicalPromptTokens };
+    return std::min(model.engineTime(cost), model.engineTime(typical) * kMaxTypicalRequests);
+}
+
 /// Returns a duration in seconds with three decimals.
 std::string secondsText(Milliseconds duration)
 {
@@ -204,6 +282,8 @@
                     .upstreamChanged =
                             [this](const UpstreamRecord &record) { this->onUpstream(record); } }),
           selector(selectorOptions(settings), randomSeed()),
+          overloadControl(overloadOptions(settings), randomSeed()),
+          serverSpeeds(serverSpeedOptions(settings.serverSpeeds)),
           retryBudgets({ .ratio = settings.bounds.retryRatio * kRetryRatioShare,
                          .slack = settings.bounds.retrySlack * kRetrySlackShare,
                          .window = millisecondsOf(settings.bounds.retryWindow),
@@ -211,7 +291,7 @@
           pieceRelay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kMillisecondsPerSecond
                                      * kPieceRelayLinkShare }),
           upstreamCalls(this->pool.context()),
-          frontend(this->pool.context(), { .listen = *Endpoint::parse(settings.clientAddress) },
+          frontend(this->pool.context(), frontendOptions(settings),
                    [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
                        this->handle(std::move(request), reply);
                    })
@@ -219,6 +299,11 @@
 
     bool start(std::string &problem)
     {
+        problem = overloadOptionsError(overloadOptions(this->settings));
+        if (!problem.empty())
+            return false;
+        if (this->settings.serverSpeeds.enabled)
+            this->selector.setSpeeds(&this->serverSpeeds);
         Reason<std::error_code> reason;
         if (!this->hub.listen(reason)) {
             problem = ownLinkEndpoint(this->settings) + ": " + reason.code.message();
@@ -233,6 +318,7 @@
         this->pool.every(kDeadlineCheckPeriod, [this] {
             this->endOverdueExchanges();
             this->withdrawFromOutdatedUpstreams();
+            this->logSheddingChanges();
         });
         return true;
     }
@@ -290,6 +376,7 @@
         const auto appendMetric = [&text](const std::string &name, std::uint64_t value) {
             text += "egret_" + name + " " + std::to_string(value) + "\n";
         };
+        text += this->frontend.metricsText("client");
         for (const auto &[outcome, count] : this->counters.answers)
             appendMetric("answers_total{outcome=\"" + outcome + "\"}", count);
         appendMetric("requests_repeated_total", this->counters.retries);
@@ -301,6 +388,7 @@
         appendMetric("upstreams", this->selector.size());
         appendMetric("quarantined_segments", this->quarantine.size());
         appendMetric("gateways", this->viewReader.view().gatewayCount());
+        appendMetric("pause_limit_exceeded_total", this->counters.pauseLimitExceeded);
         appendMetric("slow_start_sends_total", this->counters.slowStartSends);
         appendMetric("limited_upstreams", this->selector.limitedCount());
         appendMetric("limited_sends_total", this->counters.limitedSends);
@@ -315,10 +403,22 @@
         appendMetric("answers_skipped_total", poolCounters.skipped);
         appendMetric("answers_with_surplus_total", poolCounters.surplus);
         appendMetric("document_number", this->plan ? this->plan->plan().number : 0);
+        if (this->plan)
+            this->appendHintRatios(text);
+        this->appendServerSpeeds(text);
         for (const auto &[route, histogram] : this->firstByteTimes)
             histogram.appendTo(text, "egret_first_byte_seconds", "service=\"" + route + "\"");
         for (const auto &[route, histogram] : this->answerTimes)
             histogram.appendTo(text, "egret_answer_seconds", "service=\"" + route + "\"");
+        for (const ServiceStatus &each : this->overloadControl.status(bootNow())) {
+            const std::string service = "{service=\"" + each.service + "\"";
+            text += "egret_service_occupancy" + service + "} " + std::to_string(each.occupancy)
+                    + "\n";
+            for (const PriorityStatus &status : each.priorities)
+                text += "egret_requests_refused_share" + service + ",priority=\""
+                        + std::to_string(status.priority) + "\"} "
+                        + std::to_string(status.refusedShare) + "\n";
+        }
         return text;
     }
 
@@ -327,7 +427,11 @@
 private:
     static SelectorOptions selectorOptions(const NodeSettings &settings)
     {
-        SelectorOptions options{ .zone = settings.zone };
+        constexpr double percent = 100;
+        SelectorOptions options{ .zone = settings.zone,
+                                 .shedsByRoom = settings.admission.isEnabled,
+                                 .probingFloor =
+                                         settings.serverSpeeds.probingFloorPercent / percent };
         for (const ZoneRegion &each : settings.regions)
             options.regions[each.zone] = each.region;
         return options;
@@ -346,6 +450,8 @@
         else if (const auto *report = std::get_if<UpstreamReport>(&frame.message))
             this->onStatement(report->upstream, report->startedAtMs,
                               statementOf(*report, bootNow()));
+        else if (const auto *speeds = std::get_if<SpeedObservations>(&frame.message))
+            this->onSharedSpeeds(*speeds);
         else if (const auto *probe = std::get_if<SuspectProbeGrant>(&frame.message))
             this->quarantine.onProbeGranted(probe->suspect, bootNow());
         else if (const auto *piece = std::get_if<BlockReply>(&frame.message))
@@ -386,6 +492,7 @@
         this->selector.setGatewayCount(this->viewReader.view().gatewayCount());
         this->retryBudgets.setGatewayCount(this->viewReader.view().gatewayCount());
         this->maintainStagerLinks();
+        this->updateServerSpeeds();
         const bool isConfirmed = this->viewReader.view().isConfirmed(bootNow());
         if (isConfirmed != std::exchange(this->wasStateConfirmed, isConfirmed))
             logInfo(isConfirmed ? "operators' state is confirmed"
@@ -434,13 +541,49 @@
         if (!parsed)
             return logError("failed to parse document in force",
                             { { "number", text.number }, { "problem", problem } });
-        this->plan = std::make_shared<const PlanIndex>(std::move(*parsed));
+        const PlanIndexPtr previous =
+                std::exchange(this->plan, std::make_shared<const PlanIndex>(std::move(*parsed)));
+        this->applyPriorities(previous.get());
         this->frontend.setBounds(this->plan->plan().bounds);
+        std::set<std::string> routes;
+        for (const PlanRoute &route : this->plan->plan().routes)
+            routes.insert(route.name);
+        this->outputLengths.setRoutes(routes);
         logInfo("document is in force", { { "number", text.number },
                                           { "routes", this->plan->plan().routes.size() },
                                           { "index", this->viewReader.view().state().index } });
     }
 
+    /// Tells the overload control the priorities of each model service. `previous`: the document in
+    /// force before, null for none.
+    void applyPriorities(const PlanIndex *previous)
+    {
+        if (previous != nullptr) {
+            for (const PlanService &service : previous->plan().services) {
+                if (this->plan->service(service.name) == nullptr)
+                    this->overloadControl.setPriorities(service.name, {});
+            }
+        }
+        for (const PlanService &service : this->plan->plan().services) {
+            std::vector<PriorityObjective> priorities;
+            if (service.engine)
+                priorities = servicePriorities(this->plan->plan(), service.name);
+            this->overloadControl.setPriorities(service.name, std::move(priorities));
+        }
+    }
+
+    void logSheddingChanges()
+    {
+        for (const SheddingChange &change : this->overloadControl.takeChanges(bootNow()))
+            logInfo(change.isShedding ? "shedding of a priority begins"
+                                      : "shedding of a priority ends",
+                    { { "service", change.service },
+                      { "priority", change.priority },
+                      { "occupancy", change.occupancy },
+                      { "requests", change.requests },
+                      { "refused", change.refusals } });
+    }
+
     void applyWeightsVersion(const NumberedText &text)
     {
         const std::string model = text.name.substr(std::string_view(kWeightsTextPrefix).size());
@@ -460,6 +603,7 @@
     void onUpstream(const UpstreamRecord &record)
     {
         this->selector.onRecord(record, bootNow());
+        this->serverSpeeds.onUpstream(record);
         logInfo("upstream changed", { { "upstream", record.id },
                                       { "endpoint", record.endpoint },
                                       { "sequence", record.sequence },
@@ -489,6 +633,75 @@
         }
     }
 
+    // Speeds of upstreams.
+
+    void updateServerSpeeds()
+    {
+        if (!this->settings.serverSpeeds.enabled)
+            return;
+        const TimePoint now = bootNow();
+        this->serverSpeeds.update(now);
+        for (const ServerSpeedChange &change : this->serverSpeeds.takeChanges())
+            logInfo("upstream's speed estimate changed", { { "upstream", change.upstream },
+                                                           { "before", change.before },
+                                                           { "after", change.after } });
+        // One registry is enough: it sends the sums to all gateways.
+        const std::string registry = this->viewReader.view().confirmingRegistry();
+        if (registry.empty())
+            return;
+        SpeedObservations message{ .gateway = this->settings.instance,
+                                   .observations = this->serverSpeeds.takeObservations(now) };
+        if (!message.observations.empty())
+            this->hub.send(registry, Channel::control, message);
+    }
+
+    void onSharedSpeeds(const SpeedObservations &message)
+    {
+        const TimePoint now = bootNow();
+        const std::size_t count = std::min(message.observations.size(), kMaxSpeedObservations);
+        for (std::size_t i = 0; i < count; ++i)
+            this->serverSpeeds.onShared(message.observations[i], now);
+    }
+
+    /// Prepares the estimation of an upstream's speed from the attempt that is being sent.
+    void beginSpeedAnswer(Exchange &exchange, const Selection &selection) const
+    {
+        exchange.speedAnswer = { .upstream = selection.upstream,
+                                 .startedAtMs = selection.startedAtMs,
+                                 .route = exchange.route->name,
+                                 .expected = selection.comparableFirstToken,
+                                 .inFlight = selection.load + 1 };
+    }
+
+    /// Learns from the time of an attempt's first event or, of an answer that isn't streamed, of
+    /// its end.
+    void learnSpeed(const Exchange &exchange)
+    {
+        SpeedAnswer answer = exchange.speedAnswer;
+        // A few milliseconds more, such as for a new connection, pass for slowness at an engine
+        // that is expected to begin within some 10 ms.
+        const bool isLearned = !exchange.service->engine
+                               || (this->settings.serverSpeeds.includesEngines && answer.expected);
+        if (!isLearned)
+            return;
+        const TimePoint now = bootNow();
+        answer.measured = now - exchange.sentAt;
+        this->serverSpeeds.onAnswer(answer, now);
+    }
+
+    void appendServerSpeeds(std::string &text) const
+    {
+        for (const auto &[id, status] : this->serverSpeeds.statuses(bootNow())) {
+            const std::string label = "{upstream=\"" + id + "\"} ";
+            text += "egret_server_speed" + label + std::to_string(status.speed) + "\n";
+            text += "egret_server_speed_samples" + label + std::to_string(status.samples) + "\n";
+            text += "egret_server_speed_age_seconds" + label
+                    + std::to_string(static_cast<double>(status.age.count())
+                                     / kMillisecondsPerSecond)
+                    + "\n";
+        }
+    }
+
     // Requests.
 
     void handle(HttpRequest &&request, const AbortableReplyPtr &reply)
@@ -550,16 +763,43 @@
         exchange->route = route;
         exchange->customer = customer;
         exchange->service = this->selectService(*exchange);
+        exchange->cost = this->estimateCost(*exchange);
         exchange->arrivedAt = now;
         this->exchanges.insert(exchange);
         reply->onClientDisconnected([this, weak = std::weak_ptr(exchange)] {
             if (const auto self = weak.lock())
                 this->onClientGone(self);
         });
+        if (!this->isAdmitted(exchange, now))
+            return;
         this->retryBudgets.onFirstSend(exchange->service->name, now);
         this->chooseAndSend(exchange);
     }
 
+    /// Answers the request at once and returns false when it is refused because the engines of its
+    /// service are nearly full.
+    bool isAdmitted(const ExchangePtr &exchange, TimePoint now)
+    {
+        if (!exchange->service->engine)
+            return true;
+        const AdmissionRequest request{
+            .service = exchange->service->name,
+            .customer = exchange->customer == nullptr ? "" : exchange->customer->name,
+            .priority = effectivePriority(*exchange->route, exchange->customer),
+            .engineTime = boundedEngineTime(*exchange->service->engine, exchange->cost),
+            .isReturning = exchange->earlierWait > 0ms
+        };
+        const AdmissionDecision decision = this->overloadControl.decide(
+                request,
+                this->selector.serviceLoad(this->selectionQuery(*exchange, now, false), now), now);
+        this->logSheddingChanges();
+        if (decision.isAdmitted)
+            return true;
+        exchange->retryAfter = decision.retryAfter;
+        this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(decision.reason));
+        return false;
+    }
+
     /// Estimates the time that a client has spent on earlier attempts. `timeout`: the route's
     /// timeout; `remaining`: time that the client still waits. The client's own timeout is assumed
     /// to be shorter than the route's timeout by half of `kClientTimeoutSpread`.
@@ -572,6 +812,54 @@
                                                         - timeout * (kClientTimeoutSpread / 2));
     }
 
+    /// Estimates what a request costs an engine. Requests of plain services have no output tokens.
+    RequestCost estimateCost(const Exchange &exchange) const
+    {
+        RequestCost cost{ .promptTokens = exchange.metadata.promptTokens };
+        if (!exchange.service->engine)
+            return cost;
+        cost.outputTokens = this->outputLengths.expected(exchange.route->name,
+                                                         exchange.metadata.expectedOutputTokens,
+                                                         exchange.metadata.maxOutputTokens);
+        // A response can't be longer than the memory of its engine.
+        const auto capacity = static_cast<double>(exchange.service->engine->kvCapacityTokens);
+        if (capacity > 0)
+            cost.outputTokens = std::min(cost.outputTokens, capacity);
+        return cost;
+    }
+
+    /// Learns the length of a streamed response that ended whole. A resumed one is left out: its
+    /// events come from several attempts, and the client may have had some of them before.
+    void learnOutputLength(const Exchange &exchange)
+    {
+        if (!exchange.service->engine || exchange.isResumed || exchange.metadata.lastEvent)
+            return;
+        const double tokens = static_cast<double>(exchange.events.returnedEvents())
+                              * exchange.service->engine->stepsPerPass;
+        this->outputLengths.onFinished(exchange.route->name, exchange.metadata.expectedOutputTokens,
+                                       tokens);
+    }
+
+    /// Appends the mean ratio of output tokens to hint of each model service: the mean over the
+    /// routes that lead there, weighted by their responses.
+    void appendHintRatios(std::string &text) const
+    {
+        std::map<std::string, double> ratioSums;
+        std::map<std::string, double> responses;
+        for (const PlanRoute &route : this->plan->plan().routes) {
+            const OutputLengths::HintRatio ratio = this->outputLengths.hintRatio(route.name);
+            for (const PlanTarget &target : route.targets) {
+                ratioSums[target.service] += ratio.mean * ratio.responses;
+                responses[target.service] += ratio.responses;
+            }
+        }
+        for (const auto &[service, count] : responses) {
+            if (count > 0)
+                text += "egret_output_hint_ratio{service=\"" + service + "\"} "
+                        + std::to_string(ratioSums[service] / count) + "\n";
+        }
+    }
+
     /// Selects one of the route's services at random, by weight.
     const PlanService *selectService(const Exchange &exchange)
     {
@@ -603,6 +891,9 @@
         SelectionQuery query{ .service = exchange.service->name,
                               .plan = exchange.service,
                               .promptTokens = exchange.metadata.promptTokens,
+                              .priority = effectivePriority(*exchange.route, exchange.customer),
+                              .cost = exchange.cost,
+                              .maxPause = exchange.plan->pauseLimit(exchange.service->name),
                               .routeRegions = &exchange.route->regions,
                               .excluded = exchange.lifecycle.attemptedUpstreams(),
                               .exactVersion = isResume ? exchange.answerVersion : 0,
@@ -615,15 +906,25 @@
         if (deadlines != this->versionDeadlines.end())
             query.version = deadlines->second.requirement(now);
         if (!isResume)
-            query.firstTokenLimit = firstTokenLimit(exchange, now);
+            query.firstTokenLimit =
+                    firstTokenLimit(exchange, this->firstTokenObjective(exchange), now);
         return query;
     }
 
+    /// Objective for the first token: the route's, but at most that of routes with a higher
+    /// priority.
+    Milliseconds firstTokenObjective(const Exchange &exchange) const
+    {
+        const auto higherObjective = this->overloadControl.firstTokenLimit(
+                exchange.service->name, effectivePriority(*exchange.route, exchange.customer));
+        return std::min(exchange.route->objective, higherObjective.value_or(Milliseconds::max()));
+    }
+
     /// Returns the time within which the first token should arrive: the time left until the
     /// latency objective, or `kOverdueObjectiveShare` of the objective when no time is left.
-    static Milliseconds firstTokenLimit(const Exchange &exchange, TimePoint now)
+    static Milliseconds firstTokenLimit(const Exchange &exchange, Milliseconds objective,
+                                        TimePoint now)
     {
-        const Milliseconds objective = exchange.route->objective;
         const auto waited = std::chrono::duration_cast<Milliseconds>(now - exchange.arrivedAt);
         const Milliseconds timeLeft = objective - waited - exchange.earlierWait;
         if (timeLeft > 0ms)
@@ -649,21 +950,28 @@
         if (!this->mayAttempt(*exchange))
             return this->giveUpQuarantined(exchange);
         const TimePoint now = bootNow();
-        const SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
+        SelectionQuery query = this->selectionQuery(*exchange, now, isResume);
+        query.isNew = !std::exchange(exchange->wasOffered, true);
+        if (!isResume && this->isTooLate(*exchange, query, now)) {
+            exchange->retryAfter = this->overloadControl.withJitter(kDefaultRetryAfter);
+            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(kOverloadLate));
+        }
         const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty()) {
-            exchange->retryAfter = selection.retryAfter;
+            const std::string reason = this->noUpstreamReason(*exchange, selection, now);
+            const bool isBusy = selection.problem == NoUpstreamReason::busy;
+            exchange->retryAfter = isBusy ? this->overloadControl.withJitter(selection.retryAfter)
+                                          : selection.retryAfter;
             logInfo("no upstream can take the request",
                     { { "request", exchange->metadata.id },
-                      { "reason", noUpstreamReasonName(selection.problem) },
+                      { "reason", reason },
                       { "known", this->selector.size() },
                       { "leastVersion", query.version.minimum },
                       { "exactVersion", query.exactVersion },
                       { "firstWithinMs", query.firstTokenLimit.value_or(0ms).count() },
                       { "expectedMs", selection.expectedFirstToken.count() },
                       { "retryAfterMs", selection.retryAfter.count() } });
-            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(
-                                                         noUpstreamReasonName(selection.problem)));
+            return this->applyDecision(exchange, exchange->lifecycle.onNoUpstream(reason));
         }
         if (selection.permitRate)
             this->requestPermit(exchange, selection, isResume, now);
@@ -671,6 +979,28 @@
             this->sendChosen(exchange, selection, isResume, now);
     }
 
+    /// True for a request that has waited here, for a permit or an earlier attempt, until its
+    /// latency objective passed, while all slots of the usable engines are taken. Sent now, it
+    /// would be late and make other requests late.
+    bool isTooLate(const Exchange &exchange, const SelectionQuery &query, TimePoint now)
+    {
+        if (!this->settings.admission.isEnabled || !exchange.service->engine
+            || now - exchange.arrivedAt < exchange.route->objective)
+            return false;
+        return this->selector.serviceLoad(query, now).occupancy.value_or(0) >= 1;
+    }
+
+    /// Reason why no upstream was selected. A request that would have been sent but for the
+    /// objectives of higher priorities is refused for its priority.
+    std::string noUpstreamReason(const Exchange &exchange, const Selection &selection,
+                                 TimePoint now) const
+    {
+        const bool isForPriority = selection.problem == NoUpstreamReason::busy
+                                   && selection.expectedFirstToken <= firstTokenLimit(
+                                              exchange, exchange.route->objective, now);
+        return isForPriority ? kOverloadPriority : noUpstreamReasonName(selection.problem);
+    }
+
     /// False when the request or a segment of its prompt is quarantined. A probe has one attempt.
     bool mayAttempt(Exchange &exchange) const
     {
@@ -720,10 +1050,13 @@
                                      { "load", selection.load },
                                      { "noticeAgeMs", selection.noticeAge.count() },
                                      { "expectedMs", selection.expectedFirstToken.count() },
+                                     { "expectedPauseMs", selection.expectedPause.count() },
                                      { "version", selection.version },
                                      { "slowStartMs", selection.slowStartRemaining.count() },
                                      { "permitRate", selection.permitRate.value_or(0) },
                                      { "gateways", this->viewReader.view().gatewayCount() } });
+        exchange->isResumed = exchange->isResumed || isResume;
+        this->counters.pauseLimitExceeded += selection.exceedsMaxPause ? 1 : 0;
         if (isResume)
             ++this->counters.resumes;
         else if (exchange->lifecycle.attempts() > 0)
@@ -759,7 +1092,7 @@
         this->permitWaits[id] = {
             .exchange = exchange, .selection = selection, .isResume = isResume, .askedAt = now
         };
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         const Channel channel = exchange->service->engine ? Channel::serve : Channel::control;
         const PermitRequest request{ .callId = id,
                                      .upstream = selection.upstream,
@@ -817,11 +1150,12 @@
         exchange->events.begin();
         this->answerBuffers.set(exchange, 0);
         exchange->lifecycle.onSend(selection.upstream);
+        this->beginSpeedAnswer(*exchange, selection);
         if (selection.slowStartRemaining > 0ms)
             ++this->counters.slowStartSends;
         else if (selection.permitRate)
             ++this->counters.limitedSends;
-        this->selector.onSent(selection.upstream, exchange->metadata.promptTokens, now);
+        this->selector.onSent(selection.upstream, exchange->cost, now);
         // Tells whether the call's events still matter: false once the request has ended or was
         // sent to another upstream.
         const auto isCurrentAttempt = [exchange, upstream = selection.upstream] {
@@ -831,7 +1165,7 @@
         OutboundCall call{
             .to = selection.endpoint,
             .head = this->requestHead(*exchange, selection, now),
-            .body = exchange->request.body,
+            .sharedBody = std::shared_ptr<const std::string>(exchange, &exchange->request.body),
             .isHeadRequest = exchange->request.method == "HEAD",
             .mayRunTwice = exchange->route->kind != RequestKind::once,
             .maxConnections = selection.maxConnections,
@@ -877,15 +1211,12 @@
                             TimePoint now) const
     {
         const PlanCustomer *customer = exchange.customer;
-        const std::uint32_t priority = customer != nullptr && customer->priority
-                                               ? *customer->priority
-                                               : exchange.route->priority;
         const ForwardMetadata metadata{
             .upstream = selection.upstream,
             .customer = customer == nullptr ? "" : customer->name,
             .remaining =
                     std::chrono::duration_cast<Milliseconds>(exchange.lifecycle.deadline() - now),
-            .priority = std::min<std::uint32_t>(priority, kMaxPriority),
+            .priority = effectivePriority(*exchange.route, customer),
             .lastEvent = exchange.events.lastEventId(),
             .version = exchange.lifecycle.hasForwarded() ? exchange.answerVersion : 0
         };
@@ -1027,8 +1358,12 @@
 
     void forwardEvents(const ExchangePtr &exchange, const std::string &events)
     {
-        if (!exchange->lifecycle.hasResponseBegun())
+        if (!exchange->lifecycle.hasResponseBegun()) {
+            // The prediction is for a new stream, not for the rest of a broken one.
+            if (!exchange->lifecycle.hasForwarded())
+                this->learnSpeed(*exchange);
             this->onAnswerBegun(*exchange);
+        }
         this->startStream(*exchange);
         exchange->reply->write(events);
         if (exchange->reply->pendingBytes() > kMaxUnsentBytes) {
@@ -1154,7 +1489,10 @@
         if (exchange->isStreamed) {
             this->startStream(*exchange);
             exchange->reply->finish();
+            this->learnOutputLength(*exchange);
         } else {
+            if (!exchange->service->engine)
+                this->learnSpeed(*exchange);
             this->onAnswerBegun(*exchange);
             exchange->firstByteAt = now;
             exchange->reply->send(status, "", exchange->body, forwardedHeaders(exchange->head));
@@ -1195,6 +1533,7 @@
         // The failure status in hand must be answered at once, without the wait for a permit.
         SelectionQuery query = this->selectionQuery(*exchange, now, false);
         query.mayNeedPermit = false;
+        query.isNew = false;
         const Selection selection = this->selector.choose(query, now);
         if (selection.upstream.empty() || !this->retryBudgets.take(exchange->service->name, now))
             return false;
@@ -1261,6 +1600,8 @@
                     exchange->firstByteAt ? msSinceArrival(*exchange->firstByteAt) : -1 },
                   { "waitedBeforeMs", exchange->earlierWait.count() },
                   { "promptTokens", exchange->metadata.promptTokens },
+                  { "expectedOutputTokens", exchange->cost.outputTokens },
+                  { "events", exchange->events.returnedEvents() },
                   { "ms", msSinceArrival(now) } });
     }
 
@@ -1335,6 +1676,9 @@
     LinkHub hub;
     ViewReader viewReader;
     UpstreamSelector selector;
+    OutputLengths outputLengths;
+    OverloadControl overloadControl;
+    ServerSpeeds serverSpeeds;
     GatewayRetryBudgets retryBudgets;
     PieceRelay pieceRelay;
     HttpPool upstreamCalls;
--- a/src/upstream_selector.h
+++ b/src/upstream_selector.h
@@ -1,6 +1,11 @@
 #pragma once
 
+#include "arrival_rate.h"
+#include "engine_model.h"
+#include "load_spread.h"
 #include "outlier.h"
+#include "overload_control.h"
+#include "server_speed.h"
 #include "serving_plan.h"
 #include "upstream_statements.h"
 #include "version_deadlines.h"
@@ -28,8 +33,11 @@
     /// Penalty of an upstream of a plain service in another zone: the network delay only. Plain
     /// services are defined at `UpstreamSelector`.
     Milliseconds plainCrossZonePenalty{ 6ms };
-    /// Cost difference that lowers the probability of a selection by a factor of e.
-    Milliseconds costSpread{ 40ms };
+    /// Refuses the share of new requests for which full engines have no room in time.
+    bool shedsByRoom{ true };
+    /// Share of its requests that an upstream keeps however slow it is, compared with a selection
+    /// that knows no speeds. Its answers show when it has become faster.
+    double probingFloor{ 0.1 };
 };
 
 /// State of the network path to an engine's machine, measured on the link (connection) to the
@@ -47,6 +55,12 @@
     std::string service;
     const PlanService *plan{ nullptr }; ///< settings of `service`; null: a plain service
     double promptTokens{ 0 };
+    std::uint32_t priority{ 0 }; ///< 0 is the highest
+    /// Expected cost at an engine; without `outputTokens`, that of a typical request. The prompt is
+    /// taken from `promptTokens`.
+    RequestCost cost;
+    /// Longest pause that the streams at an engine should have; 0: no limit.
+    Milliseconds maxPause{ 0 };
     /// Regions that the route allows; null or empty: all.
     const std::vector<std::string> *routeRegions{ nullptr };
     /// Regions that the customer allows; null or empty: all.
@@ -56,6 +70,8 @@
     std::uint64_t exactVersion{ 0 }; ///< the only allowed version of the weights; 0: any
     /// Limit on the predicted time to the first token; empty: no limit.
     std::optional<Milliseconds> firstTokenLimit;
+    /// First choice for a request, not for another attempt or after a refused permit.
+    bool isNew{ true };
     /// The request may be executed more than once. If false, the request is never sent to an
     /// upstream that is ejected or in cooldown, not even as a last resort.
     bool mayRunTwice{ true };
@@ -89,9 +105,17 @@
     /// gateways.
     bool keepsConnection{ true };
     Milliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
-    double load{ 0 };                     ///< estimated number of requests at the upstream
+    /// Predicted time to the first token of an engine to compare with the measured time, see
+    /// `SpeedAnswer::expected`. Empty for plain services, and when most of the time is expected to
+    /// pass in the engine's queue, so that it says little of the engine's speed.
+    std::optional<FloatMilliseconds> comparableFirstToken;
+    double load{ 0 }; ///< estimated number of requests at the upstream
     /// Age of the load notice from which `load` is estimated; 0 without a notice.
     Milliseconds noticeAge{ 0 };
+    /// Predicted longest pause of the streams at an engine once the request joins.
+    Milliseconds expectedPause{ 0 };
+    /// Every engine that can take the request would exceed `SelectionQuery::maxPause`.
+    bool exceedsMaxPause{ false };
     Milliseconds slowStartRemaining{ 0 }; ///< remaining slow start of the upstream; 0: none
     /// Requests a second to which the upstream's issuer limits permits, see `SlowStartPermits`: the
     /// upstream is in slow start, has named a limit, or has weights that are about to expire, and
@@ -106,11 +130,14 @@
 /// customer, the zones and the version of the weights allow. An upstream of a model service is
 /// an engine; its load is known from load notices, which the stager on the engine's machine
 /// sends. Services without engines are called plain; their upstreams send no load notices.
-/// Upstreams are drawn at random, weighted by predicted cost, so that gateways with the same
-/// load notices don't all select the same upstream. The selection also has to work while
-/// engines are full most of the time, and while a single engine recovers and all others
-/// accept no requests. Parameters named `upstream` hold ids; parameters named `endpoint` hold the
-/// address of an engine. Deterministic given the seed; not thread safe.
+/// An engine where the prediction exceeds the limit on pauses, and an engine in a slow period, are
+/// used only if the others are much busier; an engine whose memory has no room for the request,
+/// only if no other has.
+/// Upstreams are drawn at random: engines by `spreadWeights`, others weighted by cost, so that
+/// gateways with the same load notices don't all select the same upstream. The selection also has
+/// to work while engines are full most of the time, and while a single engine recovers and all
+/// others accept no requests. Parameters named `upstream` hold ids; parameters named `endpoint`
+/// hold the address of an engine. Deterministic given the seed; not thread safe.
 class UpstreamSelector
 {
 public:
@@ -138,6 +165,12 @@
     /// Sets the number of gateways that share the upstreams.
     void setGatewayCount(std::uint32_t count) { this->gatewayCount = std::max(1U, count); }
 
+    /// Sets the estimates of the upstreams' speeds; null: all upstreams count as equally fast. An
+    /// upstream's load counts in proportion to the time that it takes there, which changes only
+    /// the draw: limits, permits and the check against `firstTokenLimit` are as without speeds.
+    /// Precondition: `speeds` outlives the selector.
+    void setSpeeds(const ServerSpeeds *newSpeeds) { this->speeds = newSpeeds; }
+
     /// Selects an upstream; the request counts as in flight only after `onSent`. An upstream can't
     /// be tried if the request was attempted there before, if the engine's weights may expire
     /// before the request starts, if it has said
@@ -147,6 +180,11 @@
     /// run twice.
     Selection choose(const SelectionQuery &query, TimePoint now);
 
+    /// Returns the load of all engines that `choose` may select for the request, now or after a
+    /// refusal: without those that are ejected, that want nothing now or whose weights are about to
+    /// expire. Values are up to 20 ms old. Precondition: the service has engines.
+    ServiceLoad serviceLoad(const SelectionQuery &query, TimePoint now);
+
     /// A permit for the upstream was refused, or no answer came. The request counts as in flight
     /// since `onSent` and does so no longer.
     void onPermitRefused(const std::string &upstream, Milliseconds retryAfter, TimePoint now);
@@ -154,9 +192,14 @@
     /// A request that waits for a permit was given up; it counts as in flight no longer.
     void onPermitAbandoned(const std::string &upstream);
 
-    /// A request was sent to an upstream, or a permit to send it was asked for. `promptTokens`:
-    /// length of the prompt.
-    void onSent(const std::string &upstream, double promptTokens, TimePoint now);
+    /// A request was sent to an upstream, or a permit to send it was asked for.
+    void onSent(const std::string &upstream, const RequestCost &cost, TimePoint now);
+
+    /// As above, for a request of which only the length of the prompt is known.
+    void onSent(const std::string &upstream, double promptTokens, TimePoint now)
+    {
+        this->onSent(upstream, RequestCost{ .promptTokens = promptTokens }, now);
+    }
 
     /// A sent request ended without a refusal. `failed`: the upstream caused a failure.
     void onEnded(const std::string &upstream, bool failed, TimePoint now);
@@ -175,7 +218,7 @@
     struct SentRequest
     {
         TimePoint sentAt;
-        double promptTokens{ 0 };
+        RequestCost cost;
     };
     struct Upstream
     {
@@ -199,7 +242,21 @@
         double load{ 0 };                          ///< estimated number of requests at the upstream
         FloatMilliseconds expectedFirstToken{ 0 }; ///< predicted time to the first token
         FloatMilliseconds cost{ 0 }; ///< `expectedFirstToken` plus the penalties for zone and path
-        double weight{ 0 };          ///< relative probability of being selected
+        double speed{ 1 };           ///< estimated speed of the upstream
+        FloatMilliseconds speedCost{ 0 };    ///< addition to `cost` because of the upstream's speed
+        double weight{ 0 };                  ///< relative probability of being selected
+        SpreadTarget target;                 ///< engines only
+        SpreadTarget evenTarget;             ///< `target` as if the upstream had the speed 1
+        FloatMilliseconds longestPause{ 0 }; ///< predicted for the streams at an engine
+        bool hasMemory{ true };              ///< the memory of the engine has room for the request
+    };
+    /// Load of the engines of a service in a set of regions.
+    struct KnownLoad
+    {
+        TimePoint countedAt;
+        std::optional<double> occupancy;
+        /// Predicted time to the first token without the prefill of the request's own prompt.
+        std::optional<FloatMilliseconds> firstTokenBeforePrefill;
     };
 
     bool takeEndpoint(const UpstreamRecord &record);
@@ -213,19 +270,42 @@
     bool servesVersion(const Upstream &upstream, const SelectionQuery &query,
                        std::uint64_t requiredVersion, TimePoint now) const;
     bool hasFreshNotice(const Upstream &upstream, TimePoint now) const;
+    EngineLoad engineLoad(const EngineModel &model, const EngineSpec &spec,
+                          const Upstream &upstream, TimePoint now) const;
+    bool hasMemory(const Upstream &upstream, const SelectionQuery &query, TimePoint now) const;
     Candidate scoreEngine(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                           TimePoint now) const;
     Candidate scorePlain(const std::string &id, Upstream &upstream, const SelectionQuery &query,
                          TimePoint now) const;
+    KnownLoad countLoad(const SelectionQuery &query, TimePoint now);
+    double requestsAt(const Upstream &upstream, const EngineSpec &engine, TimePoint now) const;
+    double slotsOf(const Upstream &upstream, const SelectionQuery &query, TimePoint now) const;
+    std::optional<FloatMilliseconds> comparableFirstToken(const Upstream &upstream,
+                                                          const SelectionQuery &query,
+                                                          TimePoint now) const;
+    double speedOf(const std::string &id) const;
+    static SpreadTarget spreadTarget(const EngineModel &model, const EngineSpec &spec,
+                                     const EngineLoad &load, FloatMilliseconds wait, bool isLocal);
     const Candidate &drawByWeight(const std::vector<Candidate> &candidates);
+    double admissionShare(const std::vector<Candidate> &candidates, const SelectionQuery &query,
+                          TimePoint now);
+    void weighEngines(std::vector<Candidate> &candidates, const SelectionQuery &query,
+                      TimePoint now) const;
+    void weighPlain(std::vector<Candidate> &candidates) const;
+    double gatewaysOfZone() const;
 
     SelectorOptions options;
     std::mt19937_64 random;
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, std::string> idByEndpoint; ///< id of the upstream at an address
     std::set<std::string> zonesOut;
+    std::map<std::string, ArrivalRate> sentByService; ///< requests sent to upstreams
+    /// New requests, refused ones included, by service with set of regions and by priority.
+    std::map<std::string, std::map<std::uint32_t, ArrivalRate>> offeredByScope;
+    std::map<std::string, KnownLoad> knownLoads; ///< by service and set of regions
     std::uint32_t gatewayCount{ 1 };
     OutlierDetector outlierDetector;
+    const ServerSpeeds *speeds{ nullptr };
 };
 
 } // namespace egret
--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -1,5 +1,6 @@
 #include "generated/settings.h"
 #include "json_fields.h"
+#include "overload_control.h"
 #include "types.h"
 
 #include <gtest/gtest.h>
@@ -82,3 +83,38 @@
     EXPECT_EQ(settings->bounds.retrySlack, 0);
     EXPECT_EQ(settings->bounds.drain, 24h);
 }
+
+// Guards against a deployment whose template, which names no admission settings, turns admission
+// control off or makes it invalid.
+TEST(NodeSettingsTemplate, AdmissionControlIsOnByDefault)
+{
+    const auto settings = read({});
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->admission.isEnabled);
+    const OverloadOptions defaults;
+    EXPECT_EQ(settings->admission.start, defaults.start);
+    EXPECT_EQ(settings->admission.width, defaults.width);
+    EXPECT_EQ(settings->admission.floor, defaults.floor);
+    EXPECT_EQ(overloadOptionsError(defaults), "");
+}
+
+// Guards against settings of speeds that no estimate can work with, and against deployments
+// without these settings that no longer start.
+TEST(NodeSettingsTemplate, ServerSpeedsAreOnByDefaultAndValidated)
+{
+    const auto settings = read({});
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->serverSpeeds.enabled);
+    const auto accepts = [](const std::string &text) {
+        JsonProblem problem;
+        JsonReader reader;
+        ServerSpeedSettings speeds;
+        return reader.read(*parseJson(text, problem), speeds);
+    };
+    EXPECT_TRUE(accepts(R"({ "enabled": false, "probingFloorPercent": 20 })"));
+    EXPECT_FALSE(accepts(R"({ "probingFloorPercent": 0 })"));
+    EXPECT_FALSE(accepts(R"({ "deadbandPercent": 51 })"));
+    EXPECT_FALSE(accepts(R"({ "windowAnswers": 9 })"));
+    EXPECT_FALSE(accepts(R"({ "halfLife": 10 })"));
+    EXPECT_FALSE(accepts(R"({ "maxStepPercent": 0 })"));
+}
