Check the admission settings that the template names

The test expected the defaults, which the template no longer leaves in force (start 0.9, width 0.3). It now checks the template's values and that a gateway accepts them.

--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -84,18 +84,21 @@
     EXPECT_EQ(settings->bounds.drain, 24h);
 }
 
-// Guards against a deployment whose template, which names no admission settings, turns admission
-// control off or makes it invalid.
-TEST(NodeSettingsTemplate, AdmissionControlIsOnByDefault)
+// Guards against a template that turns admission control off, or whose settings no gateway accepts.
+TEST(NodeSettingsTemplate, AdmissionControlIsOn)
 {
     const auto settings = read({});
     ASSERT_TRUE(settings);
     EXPECT_TRUE(settings->admission.isEnabled);
+    EXPECT_EQ(settings->admission.start, 0.9);
+    EXPECT_EQ(settings->admission.width, 0.3);
     const OverloadOptions defaults;
-    EXPECT_EQ(settings->admission.start, defaults.start);
-    EXPECT_EQ(settings->admission.width, defaults.width);
     EXPECT_EQ(settings->admission.floor, defaults.floor);
     EXPECT_EQ(overloadOptionsError(defaults), "");
+    EXPECT_EQ(overloadOptionsError({ .start = settings->admission.start,
+                                     .width = settings->admission.width,
+                                     .floor = settings->admission.floor }),
+              "");
 }
 
 // Guards against settings of speeds that no estimate can work with, and against deployments
