--- a/tests/load_spread_test.cpp
+++ b/tests/load_spread_test.cpp
@@ -44,9 +44,8 @@
 // wait getting the requests of a whole notice period.
 TEST(LoadSpread, ManyGatewaysWithTheSameNoticesDoNotOverloadTheLeastLoadedEngines)
 {
-    std::vector<SpreadTarget> targets;
-    for (int i = 0; i < 20; ++i)
-        targets.push_back(engine(i < 4 ? 100 : 220));
+    std::vector<SpreadTarget> targets(20, engine(220));
+    std::fill_n(targets.begin(), 4, engine(100));
     const double requests = 45 * 11 * 0.2;
     const auto weights =
             spreadWeights(targets, { .ofZone = requests, .ofAll = requests }, kPenalty);
@@ -64,9 +63,8 @@
 // Guards against gateways that leave their zone while it has room.
 TEST(LoadSpread, OtherZonesGetRequestsOnlyOnceTheOwnZoneIsBusier)
 {
-    std::vector<SpreadTarget> targets;
-    for (int i = 0; i < 30; ++i)
-        targets.push_back(engine(100, 12, i < 10));
+    std::vector<SpreadTarget> targets(30, engine(100, 12, false));
+    std::fill_n(targets.begin(), 10, engine(100, 12));
     const auto evenly = spreadWeights(targets, { .ofZone = 10, .ofAll = 30 }, kPenalty);
     EXPECT_DOUBLE_EQ(std::accumulate(evenly.begin() + 10, evenly.end(), 0.0), 0);
     for (std::size_t i = 0; i < 10; ++i)
