--- a/review/lib-2/small_deployment.py
+++ b/review/lib-2/small_deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import queue
 import re
 import shutil
 import signal
@@ -403,3 +404,64 @@
         except OSError:
             pass
         return received
+
+
+class SlowPath:
+    """A network path to `target` that delivers everything, also the end of a channel, `delay_s` later."""
+
+    def __init__(self, deployment, address, target, delay_s):
+        self.target, self.delay_s = target, delay_s
+        self.address = address
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(16)
+        deployment.standins.append(self)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def stop(self):
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.relay, args=(near,), daemon=True).start()
+
+    def relay(self, near):
+        try:
+            far = socket.create_connection(self.target)
+        except OSError:
+            near.close()
+            return
+        threading.Thread(target=self.copy, args=(near, far, self.delay_s), daemon=True).start()
+        self.copy(far, near, 0.0)
+
+    @staticmethod
+    def copy(source, sink, delay_s):
+        """Copies bytes and the end of the stream, each `delay_s` after it came."""
+        arrived = queue.Queue()
+
+        def read():
+            while True:
+                try:
+                    part = source.recv(65536)
+                except OSError:
+                    part = b""
+                arrived.put((time.monotonic(), part))
+                if not part:
+                    return
+
+        threading.Thread(target=read, daemon=True).start()
+        while True:
+            at, part = arrived.get()
+            time.sleep(max(0.0, at + delay_s - time.monotonic()))
+            try:
+                if not part:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(part)
+            except OSError:
+                return
