Take no reset for the orderly end of a response

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a socket reports an error once. The reactor completes the write of the request before the read, so the write received the reset, and the next read returned the end of the input, as after an orderly close. HttpPool ignored write errors, and the end of the input completes a body without a length.

Change: HttpPool keeps the error of the write. At the end of the input it is the end of the response, unless it is EPIPE: the kernel reports EPIPE when the server's orderly close came before its reset, so that every byte has arrived. The same holds for a time-out of the connection (TCP_USER_TIMEOUT).

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -178,6 +178,7 @@
         if (this->call.isHeadRequest)
             this->reader.expectNoBody();
         this->headDelivered = this->requestWritten = this->isMismatched = false;
+        this->writeError.clear();
         const std::array<asio::const_buffer, 2> buffers = {
             asio::buffer(this->call.head),
             asio::buffer(this->call.sharedBody ? *this->call.sharedBody : this->call.body)
@@ -190,6 +191,7 @@
                               // A write error doesn't end the call: a response that the server
                               // sent earlier may still be read.
                               self->requestWritten = !error;
+                              self->writeError = error;
                           });
         this->read();
     }
@@ -215,12 +217,13 @@
                 ++this->poolState.counters.surplus;
             return this->close();
         }
-        if (error == asio::error::eof) {
+        const std::error_code end = error == asio::error::eof ? this->endOfInput() : error;
+        if (end == asio::error::eof) {
             this->reader.finish();
             this->reachedEof = true;
-        } else if (error) {
-            this->wasReset = error == asio::error::connection_reset;
-            return this->fail(CallOutcome::broken, error.message());
+        } else if (end) {
+            this->wasReset = end == asio::error::connection_reset;
+            return this->fail(CallOutcome::broken, end.message());
         }
         this->receivedBytes += size;
         if (this->receivedBytes > this->call.maxResponseBytes)
@@ -229,6 +232,16 @@
             this->read();
     }
 
+    /// Tells an orderly close, for which a read returns the end of the input, from an error that
+    /// the write of the request has received: a socket reports an error only once, and reads then
+    /// return the end of the input as well. After an orderly close by the server, a write fails
+    /// with `broken_pipe` instead.
+    std::error_code endOfInput() const
+    {
+        const bool isOrderly = !this->writeError || this->writeError == asio::error::broken_pipe;
+        return isOrderly ? asio::error::eof : this->writeError;
+    }
+
     /// Parses bytes of the response. Returns true when more bytes must be read.
     bool processInput(std::string_view bytes)
     {
@@ -341,6 +354,7 @@
     std::uint64_t callCount{ 0 }; ///< calls on this connection until now
     bool readInFlight{ false };
     bool requestWritten{ false };
+    std::error_code writeError; ///< of the request of the current call
     bool headDelivered{ false };
     bool isMismatched{ false }; ///< the current response belongs to another request
     bool hasSkippedResponse{ false };
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "faulty_server.h"
+
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -45,6 +47,19 @@
     std::thread thread;
 };
 
+/// An upload that the buffers of the sockets don't hold.
+constexpr std::size_t kLongUpload = 4U << 20U;
+
+HttpResult callFaulty(const FaultyServer &server, std::size_t uploadSize,
+                      const std::string &method = "POST")
+{
+    HttpClient client;
+    return client.callAndWait({ .method = method,
+                                .url = "http://" + server.endpoint().text() + "/",
+                                .body = std::string(uploadSize, 'u'),
+                                .timeout = 5s });
+}
+
 } // namespace
 
 // Guards against a process that runs out of memory on a response without end.
@@ -79,3 +94,46 @@
     EXPECT_FALSE(result.complete);
     EXPECT_LE(received, 16U << 10U);
 }
+
+// Guards against a cut response that passes for a whole one.
+TEST(HttpClient, AResetNeverCompletesAResponse)
+{
+    const std::vector<std::string> cutResponses = {
+        "HTTP/1.1 200 OK\r\n\r\na part",
+        "HTTP/1.1 500 Error\r\n\r\na part",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
+    };
+    for (const std::string &bytes : cutResponses) {
+        for (const Milliseconds pause : { 0ms, 50ms }) {
+            for (const std::size_t uploadSize : { std::size_t{ 0 }, kLongUpload }) {
+                const FaultyServer server(
+                        { .bytes = bytes, .pause = pause, .end = AnswerEnd::reset });
+                const HttpResult result = callFaulty(server, uploadSize);
+                EXPECT_FALSE(result.complete)
+                        << bytes << " after " << pause.count() << " ms, upload " << uploadSize;
+                EXPECT_TRUE(result.requestSent);
+            }
+        }
+    }
+}
+
+// Guards against losing whole responses together with cut ones.
+TEST(HttpClient, WholeResponsesAreReceivedBeforeAndAfterTheUpload)
+{
+    const std::vector<std::pair<int, std::string>> responses = {
+        { 200, "HTTP/1.1 200 OK\r\n\r\nwhole" },
+        { 200, "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n\r\nwhole" },
+        { 413, "HTTP/1.1 413 Large\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwhole" },
+        { 503, "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" },
+    };
+    for (const bool readsRequest : { false, true }) {
+        for (const auto &[status, bytes] : responses) {
+            const FaultyServer server({ .bytes = bytes, .readsRequest = readsRequest });
+            const HttpResult result = callFaulty(server, kLongUpload);
+            EXPECT_TRUE(result.complete) << bytes << ": " << result.error;
+            EXPECT_EQ(result.status, status);
+            EXPECT_EQ(result.body, "whole");
+        }
+    }
+}
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "http_pool.h"
 
+#include "faulty_server.h"
 #include "loopback.h"
 #include "worker_pool.h"
 
@@ -76,15 +77,19 @@
     /// header `Id: other` counts as a response to another request, one with `Id: none` names none.
     CallRecord call(bool mayRunTwice = true) { return this->call({ .mayRunTwice = mayRunTwice }); }
 
-    /// As above; `options` holds the limits of the call.
+    /// As above; `options` holds the limits of the call and, for another server or an upload, `to`
+    /// and `body`.
     CallRecord call(OutboundCall &&options)
     {
         std::promise<CallRecord> done;
         auto record = std::make_shared<CallRecord>();
+        const std::string method = options.body.empty() ? "GET" : "POST";
         this->pool.run([&] {
             this->httpPool->start({
-                    .to = this->endpoint(),
-                    .head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                    .to = options.to.port == 0 ? this->endpoint() : options.to,
+                    .head = method + " / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                            + std::to_string(options.body.size()) + "\r\n\r\n",
+                    .body = options.body,
                     .mayRunTwice = options.mayRunTwice,
                     .timeLimit = options.timeLimit,
                     .maxResponseBytes = options.maxResponseBytes,
@@ -138,6 +143,9 @@
     std::atomic<int> answeredRequests{ 0 };
 };
 
+/// An upload that the buffers of the sockets don't hold.
+constexpr std::size_t kLongUpload = 4U << 20U;
+
 const std::string kResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -334,3 +342,73 @@
         EXPECT_FALSE(record.end.isServerClose);
     }
 }
+
+// Guards against a cut response that passes for a whole one: when the write of the request receives
+// the error of the reset, the next read looks like an orderly close.
+TEST_F(HttpPoolTest, AResetDuringTheUploadNeverCompletesAResponse)
+{
+    const std::vector<std::string> cutResponses = {
+        "HTTP/1.1 200 OK\r\n\r\na part",
+        "HTTP/1.0 200 OK\r\n\r\na part",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 500 Error\r\n\r\na part",
+        "HTTP/1.1 200 O",
+    };
+    for (const std::string &bytes : cutResponses) {
+        for (const Milliseconds pause : { 0ms, 50ms }) {
+            for (const std::size_t uploadSize : { std::size_t{ 0 }, kLongUpload }) {
+                const FaultyServer faulty(
+                        { .bytes = bytes, .pause = pause, .end = AnswerEnd::reset });
+                const CallRecord record = this->call(
+                        { .to = faulty.endpoint(), .body = std::string(uploadSize, 'u') });
+                EXPECT_EQ(record.end.outcome, CallOutcome::broken)
+                        << bytes << " after " << pause.count() << " ms, upload " << uploadSize;
+                EXPECT_TRUE(record.end.isServerClose);
+            }
+        }
+    }
+}
+
+// Guards against rejecting whole responses together with cut ones.
+TEST_F(HttpPoolTest, AnOrderlyCloseCompletesAResponseBeforeAndAfterTheUpload)
+{
+    for (const AnswerEnd end : { AnswerEnd::orderly, AnswerEnd::orderlyUnread }) {
+        for (const bool readsRequest : { false, true }) {
+            for (const Milliseconds pause : { 0ms, 50ms }) {
+                const FaultyServer sound({ .bytes = "HTTP/1.1 200 OK\r\n\r\nall",
+                                           .lateBytes = " of it",
+                                           .pause = pause,
+                                           .end = end,
+                                           .readsRequest = readsRequest });
+                const CallRecord record = this->call(
+                        { .to = sound.endpoint(), .body = std::string(kLongUpload, 'u') });
+                EXPECT_EQ(record.end.outcome, CallOutcome::whole)
+                        << record.end.detail << ", request read: " << readsRequest
+                        << ", upload read: " << (end == AnswerEnd::orderly);
+                EXPECT_EQ(record.body, "all of it");
+            }
+        }
+    }
+}
+
+// Guards against a refusal that is lost because the upload can't be written to its end.
+TEST_F(HttpPoolTest, AnEarlyRefusalIsReceivedWhileTheUploadRuns)
+{
+    const std::vector<std::pair<int, std::string>> refusals = {
+        { 413, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\nConnection: close\r\n\r\nlong" },
+        { 503, "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlong\r\n0\r\n\r\n" },
+        { 503, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 Full\r\n\r\nlong" },
+    };
+    for (const AnswerEnd end : { AnswerEnd::orderly, AnswerEnd::orderlyUnread }) {
+        for (const auto &[status, bytes] : refusals) {
+            const FaultyServer server({ .bytes = bytes, .end = end });
+            const CallRecord record =
+                    this->call({ .to = server.endpoint(), .body = std::string(kLongUpload, 'u') });
+            EXPECT_EQ(record.end.outcome, CallOutcome::whole) << bytes << record.end.detail;
+            EXPECT_EQ(record.status, status);
+            EXPECT_EQ(record.body, "long");
+        }
+    }
+}
