Reject responses whose status line names no status

What callers saw (reported by operators of such systems): an engine in trouble sent an answer with the status 000, and the client got it as an answer.

Cause: http_parser and libcurl take nearly any digits for a status. HttpReader counted 000 to 099 as interim, so that what followed was taken for the answer; 600 to 999, 0200, 101 (which only an upgrade may get), HTTP/0.9, 1.2 and 2.0 passed as final answers. libcurl rejects 000 by itself, but neither 600 to 999 nor 101.

Change: HttpHeadScanner checks the bytes of a head before http_parser gets them, and each head line that libcurl passes on: the version must be 1.0 or 1.1, the status three digits from 100 to 599 other than 101, the reason text without control bytes, and a CR must be followed by an LF. Such a response is malformed: the request may have run. The reason names the defect. HttpClient no longer mixes fields of interim heads into those of the final one.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "http_head_scanner.h"
+
 #include <curl/curl.h>
 
 #include <atomic>
@@ -18,6 +20,7 @@
 constexpr Milliseconds kConnectTimeout = 1s;
 constexpr long kMaxIdleConnections = 64;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+constexpr int kFirstFinalStatus = 200;
 
 /// One call in progress; used only on the client's thread.
 struct Transfer
@@ -27,9 +30,10 @@
     CURL *curlEasy{ nullptr };
     curl_slist *headers{ nullptr };
     bool headDelivered{ false };
+    HttpHeadScanner scanner{ HttpMessageKind::response };
     std::size_t headBytes{ 0 }; ///< bytes of heads received, with interim ones
     std::size_t bodyBytes{ 0 }; ///< bytes of the body received
-    std::string fault;          ///< limit that the response exceeds; empty for none
+    std::string fault;          ///< why the response can't be used; empty for none
 
     ~Transfer()
     {
@@ -37,6 +41,22 @@
         curl_easy_cleanup(this->curlEasy);
     }
 
+    /// Checks a line of a head, which libcurl passes on with nearly any content. Returns false,
+    /// and sets the fault, when the line is not valid.
+    bool checkHeadLine(std::string_view line)
+    {
+        if (this->scanner.isComplete()) {
+            if (this->scanner.status() >= kFirstFinalStatus)
+                return true; // a trailer
+            this->scanner.reset();
+            this->result.headers.clear();
+        }
+        if (this->scanner.scan(line) == line.size())
+            return true;
+        this->fault = httpDefectName(this->scanner.defect());
+        return false;
+    }
+
     /// Calls `onHeaders` and `onHead` once.
     void deliverHead()
     {
@@ -81,6 +101,8 @@
         return 0;
     }
     const std::string line(data, size * count);
+    if (!transfer->checkHeadLine(line))
+        return 0;
     const auto colon = line.find(':');
     if (colon != std::string::npos) {
         const auto valueBegin = line.find_first_not_of(' ', colon + 1);
--- /dev/null
+++ b/src/http_head_scanner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace egret {
+
+/// Kind of an HTTP message.
+enum class HttpMessageKind : std::uint8_t { request, response };
+
+/// Violation of the HTTP/1.1 grammar (RFC 9112).
+enum class HttpDefect : std::uint8_t {
+    none,
+    syntax,     ///< any violation without a value of its own
+    statusLine, ///< not a status line of HTTP/1.0 or HTTP/1.1
+    status,     ///< three digits outside of 100 to 599
+    upgrade,    ///< 101 Switching Protocols, for which no request asks
+};
+
+/// Machine-readable name of a defect. Thread safe.
+const char *httpDefectName(HttpDefect defect);
+
+/// Checks the bytes of a message's head against the grammar, in parts of any size, and finds the
+/// end of the head. Stricter than http_parser, which accepts any digits as a status. Lines may end
+/// with a bare LF. Deterministic; not thread safe.
+class HttpHeadScanner
+{
+public:
+    explicit HttpHeadScanner(HttpMessageKind kind) : kind(kind) { this->reset(); }
+
+    /// Prepares for the head of the next message.
+    void reset();
+
+    /// Checks bytes up to the end of the head or the first defect. Returns the number of valid
+    /// bytes; those behind the end of the head are not counted.
+    std::size_t scan(std::string_view bytes);
+
+    /// True when the blank line that ends the head has been scanned.
+    bool isComplete() const { return this->state == State::complete; }
+    HttpDefect defect() const { return this->currentDefect; }
+    /// Status of a response; 0 until its digits have been scanned.
+    int status() const { return this->statusCode; }
+
+private:
+    enum class State : std::uint8_t {
+        beforeStart, ///< blank lines before the message
+        startLine,
+        reason, ///< rest of a status line behind the status
+        lineStart,
+        field,
+        lineFeed,    ///< the LF of a CRLF
+        endLineFeed, ///< the LF of the CRLF that ends the head
+        complete,
+    };
+
+    /// State after the byte `c`; sets the defect if `c` is not valid.
+    State next(char c);
+    State nextInStatusLine(char c);
+    State reject(HttpDefect defect);
+
+    HttpMessageKind kind;
+    State state{ State::beforeStart };
+    HttpDefect currentDefect{ HttpDefect::none };
+    std::size_t position{ 0 }; ///< bytes of the status line so far
+    int statusCode{ 0 };
+};
+
+} // namespace egret
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -253,7 +253,7 @@
             if (this->reader.fault() != HttpFault::none) {
                 const bool isTruncated = this->reader.fault() == HttpFault::truncated;
                 this->fail(isTruncated ? CallOutcome::broken : CallOutcome::malformed,
-                           httpFaultName(this->reader.fault()));
+                           this->reader.faultReason());
                 return false;
             }
             if (!this->reader.isComplete())
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
-constexpr int kSwitchingProtocols = 101;
 
 constexpr std::array<std::string_view, 9> kHopByHopHeaders = { "connection",
                                                                "keep-alive",
@@ -88,7 +87,7 @@
     return false;
 }
 
-HttpReader::HttpReader(HttpReaderOptions options) : options(options)
+HttpReader::HttpReader(HttpReaderOptions options) : options(options), scanner(options.kind)
 {
     this->reset();
 }
@@ -98,6 +97,7 @@
     http_parser_init(&this->parser,
                      this->options.kind == HttpMessageKind::request ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser.data = this;
+    this->scanner.reset();
     this->currentHead = {};
     this->body.clear();
     this->headBytes = this->headStringBytes = this->bodyBytes = 0;
@@ -105,6 +105,19 @@
             false;
     this->hasNoBody = false;
     this->currentFault = HttpFault::none;
+    this->defect = HttpDefect::none;
+}
+
+void HttpReader::reject(HttpDefect newDefect)
+{
+    this->currentFault = HttpFault::malformed;
+    this->defect = newDefect;
+}
+
+const char *HttpReader::faultReason() const
+{
+    return this->currentFault == HttpFault::malformed ? httpDefectName(this->defect)
+                                                      : httpFaultName(this->currentFault);
 }
 
 void HttpReader::setBounds(std::size_t maxHeadBytes, std::size_t maxBodyBytes)
@@ -118,34 +131,43 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !this->messageComplete
            && this->currentFault == HttpFault::none) {
-        const std::string_view rest = bytes.substr(consumed);
-        const std::size_t parsed = http_parser_execute(
-                &this->parser, &HttpReader::parserCallbacks(), rest.data(), rest.size());
-        consumed += parsed;
+        std::string_view rest = bytes.substr(consumed);
         if (!this->headComplete)
-            this->headBytes += parsed;
-        const auto error = HTTP_PARSER_ERRNO(&this->parser);
-        if (this->isInterim) {
-            // The final response answers the same request: `hasNoBody` and the limit still apply.
-            const bool savedHasNoBody = this->hasNoBody;
-            const std::size_t savedHeadBytes = this->headBytes;
-            this->reset();
-            this->hasNoBody = savedHasNoBody;
-            this->headBytes = savedHeadBytes;
-            if (this->headBytes > this->options.maxHeadBytes)
-                this->currentFault = HttpFault::headTooLarge;
-        } else if (error != HPE_OK && error != HPE_PAUSED
-                   && this->currentFault == HttpFault::none) {
-            this->currentFault = HttpFault::malformed;
-        } else if (!this->headComplete && this->headBytes > this->options.maxHeadBytes) {
-            this->currentFault = HttpFault::headTooLarge;
-        }
-        if (parsed == 0 && error == HPE_OK)
+            rest = rest.substr(0, this->scanner.scan(rest));
+        const std::size_t parsed = rest.empty() ? 0 : this->parse(rest);
+        consumed += parsed;
+        if (this->scanner.defect() != HttpDefect::none && this->currentFault == HttpFault::none)
+            this->reject(this->scanner.defect());
+        if (parsed == 0)
             break;
     }
     return consumed;
 }
 
+std::size_t HttpReader::parse(std::string_view bytes)
+{
+    const std::size_t parsed = http_parser_execute(&this->parser, &HttpReader::parserCallbacks(),
+                                                   bytes.data(), bytes.size());
+    if (!this->headComplete)
+        this->headBytes += parsed;
+    const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (this->isInterim) {
+        // The final response answers the same request: `hasNoBody` and the limit still apply.
+        const bool savedHasNoBody = this->hasNoBody;
+        const std::size_t savedHeadBytes = this->headBytes;
+        this->reset();
+        this->hasNoBody = savedHasNoBody;
+        this->headBytes = savedHeadBytes;
+        if (this->headBytes > this->options.maxHeadBytes)
+            this->currentFault = HttpFault::headTooLarge;
+    } else if (error != HPE_OK && error != HPE_PAUSED && this->currentFault == HttpFault::none) {
+        this->reject(HttpDefect::syntax);
+    } else if (!this->headComplete && this->headBytes > this->options.maxHeadBytes) {
+        this->currentFault = HttpFault::headTooLarge;
+    }
+    return parsed;
+}
+
 void HttpReader::finish()
 {
     if (this->messageComplete || this->currentFault != HttpFault::none)
@@ -235,8 +257,7 @@
             this->currentFault = HttpFault::bodyTooLarge;
     } else {
         this->currentHead.status = this->parser.status_code;
-        this->isInterim = this->currentHead.status < kFirstFinalStatus
-                          && this->currentHead.status != kSwitchingProtocols;
+        this->isInterim = this->currentHead.status < kFirstFinalStatus;
     }
     this->currentHead.keepsAlive = http_should_keep_alive(&this->parser) != 0;
     if (this->isInterim)
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_head_scanner.h"
 #include "http_server.h"
 
 #include <http_parser.h>
@@ -21,9 +22,6 @@
 /// Machine-readable name of a fault. Thread safe.
 const char *httpFaultName(HttpFault fault);
 
-/// Kind of message that a reader parses.
-enum class HttpMessageKind : std::uint8_t { request, response };
-
 struct HttpReaderOptions
 {
     HttpMessageKind kind{ HttpMessageKind::request };
@@ -43,8 +41,7 @@
 };
 
 /// Parses one HTTP/1.1 message at a time from the bytes of a connection. Skips interim
-/// (1xx) responses; 101 Switching Protocols counts as a final response. Deterministic;
-/// not thread safe.
+/// (1xx) responses; 101 Switching Protocols is malformed. Deterministic; not thread safe.
 class HttpReader
 {
 public:
@@ -77,6 +74,9 @@
     bool hasHead() const { return this->headComplete; }
     bool isComplete() const { return this->messageComplete; }
     HttpFault fault() const { return this->currentFault; }
+    /// Machine-readable reason of the fault: the defect of a malformed message, otherwise the name
+    /// of the fault.
+    const char *faultReason() const;
     const HttpHead &head() const { return this->currentHead; }
     /// Moves the head out of the reader, which holds an empty one until the next `reset`.
     /// Precondition: the message is complete.
@@ -108,7 +108,12 @@
     /// 1 means that no body follows, 0 continues.
     int processHead();
 
+    /// Passes bytes of a message to http_parser. Returns the number of bytes consumed.
+    std::size_t parse(std::string_view bytes);
+    void reject(HttpDefect defect);
+
     HttpReaderOptions options;
+    HttpHeadScanner scanner;
     http_parser parser{};
     HttpHead currentHead;
     std::string body;
@@ -121,6 +126,7 @@
     bool isInterim{ false }; ///< the current message is an interim response
     bool hasNoBody{ false }; ///< the response answers a HEAD request
     HttpFault currentFault{ HttpFault::none };
+    HttpDefect defect{ HttpDefect::none }; ///< reason of the fault `malformed`
 };
 
 /// True when `name` is a hop-by-hop header: the header is always hop-by-hop, or
--- /dev/null
+++ b/tests/broken_responses.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egret {
+
+/// Text with its NUL bytes.
+template <std::size_t size> std::string textOf(const char (&literal)[size])
+{
+    return { literal, size - 1 };
+}
+
+/// Start of a whole response up to its first field, and the rest behind that field.
+inline constexpr std::string_view kStatusLine = "HTTP/1.1 200 OK\r\n";
+inline constexpr std::string_view kSizedRest = "Content-Length: 2\r\n\r\nok";
+
+/// Responses with a start line that no status line of HTTP/1.x can be.
+inline std::vector<std::string> responsesWithBrokenStatusLine()
+{
+    std::vector<std::string> responses;
+    const std::vector<std::string> lines = {
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 099 Low",
+        "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High",
+        "HTTP/1.1 20 Short",
+        "HTTP/1.1 0200 Long",
+        "HTTP/1.1 2000 Long",
+        "HTTP/1.1 +20 Sign",
+        "HTTP/1.1  200 Blanks",
+        "HTTP/1.1\t200 Tab",
+        "HTTP/1.1 200OK",
+        "HTTP/1.1 2 00",
+        "HTTP/1.1 ",
+        "HTTP/1.1 OK",
+        "HTTP/0.9 200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.10 200 OK",
+        "http/1.1 200 OK",
+        "ICY 200 OK",
+        " HTTP/1.1 200 OK",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 200 O\x01K",
+        "HTTP/1.1 200 O\x7fK",
+        "HTTP/1.1 200 O\rK",
+        textOf("HTTP/1.1 200 O\0K"),
+        textOf("HTTP/1.1 20\0"),
+        "HTTP/1.1 200 OK\r",
+    };
+    responses.reserve(lines.size() + 2);
+    for (const std::string &line : lines)
+        responses.push_back(line + "\r\n" + std::string(kSizedRest));
+    // A sound response behind the broken head must not take its place.
+    const std::string sound = std::string(kStatusLine) + std::string(kSizedRest);
+    responses.push_back("HTTP/1.1 000 OK\r\n\r\n" + sound);
+    responses.push_back("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound);
+    return responses;
+}
+
+} // namespace egret
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "broken_responses.h"
 #include "faulty_server.h"
 
 #include <asio/ip/tcp.hpp>
@@ -60,6 +61,15 @@
                                 .timeout = 5s });
 }
 
+/// Expects that no response completes a call.
+void expectIncomplete(const std::vector<std::string> &responses)
+{
+    for (const std::string &response : responses) {
+        const FaultyServer server({ .bytes = response });
+        EXPECT_FALSE(callFaulty(server, 0, "GET").complete) << response;
+    }
+}
+
 } // namespace
 
 // Guards against a process that runs out of memory on a response without end.
@@ -137,3 +147,9 @@
         }
     }
 }
+
+// Guards against a status that is none, which a client would get as an answer.
+TEST(HttpClient, RejectsBrokenStatusLines)
+{
+    expectIncomplete(responsesWithBrokenStatusLine());
+}
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -1,5 +1,6 @@
 #include "http_reader.h"
 
+#include "broken_responses.h"
 #include "fuzz.h"
 
 #include <gtest/gtest.h>
@@ -7,6 +8,32 @@
 
 using namespace egret;
 
+namespace {
+
+/// Fault of a response that is parsed in parts of `partSize` bytes and ended by an orderly close.
+HttpFault faultOf(const std::string &response, std::size_t partSize)
+{
+    HttpReader reader({ .kind = HttpMessageKind::response });
+    for (std::size_t at = 0; at < response.size(); at += partSize) {
+        if (reader.isComplete() || reader.fault() != HttpFault::none)
+            break;
+        reader.feed(std::string_view(response).substr(at, partSize));
+    }
+    reader.finish();
+    return reader.fault();
+}
+
+/// Expects that each response is malformed, whether it arrives at once or byte by byte.
+void expectMalformed(const std::vector<std::string> &responses)
+{
+    for (const std::string &response : responses) {
+        EXPECT_EQ(faultOf(response, response.size()), HttpFault::malformed) << response;
+        EXPECT_EQ(faultOf(response, 1), HttpFault::malformed) << response;
+    }
+}
+
+} // namespace
+
 TEST(HttpReader, StopsAfterTheLastByteOfAMessage)
 {
     HttpReader reader({ .kind = HttpMessageKind::response });
@@ -122,6 +149,24 @@
     EXPECT_EQ(reader.fault(), HttpFault::malformed);
 }
 
+// Guards against a status that is none, which a client would get as an answer.
+TEST(HttpReader, RejectsBrokenStatusLines)
+{
+    expectMalformed(responsesWithBrokenStatusLine());
+}
+
+// Guards against rejecting status lines that are unusual but valid.
+TEST(HttpReader, AcceptsEveryStatusLineOfHttp1)
+{
+    for (const std::string line : { "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ",
+                                    "HTTP/1.1 599 \xe4\tb", "HTTP/1.1 218 x" }) {
+        for (const std::string lineEnd : { "\r\n", "\n" }) {
+            const std::string response = line + lineEnd + "Content-Length: 2" + lineEnd + lineEnd;
+            EXPECT_EQ(faultOf(response + "ok", 1), HttpFault::none) << response;
+        }
+    }
+}
+
 /// The parsed body does not depend on how the message is split across calls of `feed`.
 TEST(HttpReader, ParsesTheSameBodyForAnySplitOfTheBytes)
 {
