Reject heads whose fields no reader understands alike

What callers saw (reported by operators of such systems): an engine in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on or with a body that was not the engine's.

Cause: the packaged http_parser is not built strict. It takes blanks for a part of a name, and still acts on "Content-Length :" and "Transfer-Encoding :", while our lists of fields that aren't passed on compare whole names. It joins folded values, and takes any byte for the LF behind the CR that ends a head. libcurl passes on nearly any line.

Change: HttpHeadScanner also checks each field: the name is a token directly before the colon, the value has no control bytes but tabs, and is not folded (RFC 9112, 5.2, lets a gateway reject it). Responses with another field are malformed, at HttpPool and at HttpClient, in interim heads as well.

Unusual but valid fields are still accepted: HttpReader.AcceptsEveryValidField.

--- a/src/http_head_scanner.cpp
+++ b/src/http_head_scanner.cpp
@@ -24,6 +24,14 @@
     return c >= '0' && c <= '9';
 }
 
+/// True for the bytes of field names.
+bool isNameByte(char c)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const char lower = static_cast<char>(c | 0x20);
+    return isDigit(c) || (lower >= 'a' && lower <= 'z') || marks.find(c) != std::string_view::npos;
+}
+
 } // namespace
 
 const char *httpDefectName(HttpDefect defect)
@@ -39,6 +47,10 @@
         return "invalid-status";
     case HttpDefect::upgrade:
         return "unexpected-upgrade";
+    case HttpDefect::fieldName:
+        return "malformed-field-name";
+    case HttpDefect::fieldValue:
+        return "malformed-field-value";
     }
     return "unknown";
 }
@@ -46,6 +58,7 @@
 void HttpHeadScanner::reset()
 {
     this->state = State::beforeStart;
+    this->hasField = false;
     this->currentDefect = HttpDefect::none;
     this->position = 0;
     this->statusCode = 0;
@@ -91,11 +104,23 @@
     case State::lineStart:
         if (c == '\r')
             return State::endLineFeed;
-        return c == '\n' ? State::complete : State::field;
-    case State::field:
+        if (c == '\n')
+            return State::complete;
+        // A blank here would continue the value of the previous line (obsolete line folding).
+        if ((c == ' ' || c == '\t') && this->hasField)
+            return this->reject(HttpDefect::fieldValue);
+        this->hasField = true;
+        return isNameByte(c) ? State::fieldName : this->reject(HttpDefect::fieldName);
+    case State::fieldName:
+        if (c == ':')
+            return State::fieldValue;
+        return isNameByte(c) ? State::fieldName : this->reject(HttpDefect::fieldName);
+    case State::fieldValue:
         if (c == '\r')
             return State::lineFeed;
-        return c == '\n' ? State::lineStart : State::field;
+        if (c == '\n')
+            return State::lineStart;
+        return isText(c) ? State::fieldValue : this->reject(HttpDefect::fieldValue);
     case State::lineFeed:
         return c == '\n' ? State::lineStart : this->reject(HttpDefect::syntax);
     case State::endLineFeed:
--- a/src/http_head_scanner.h
+++ b/src/http_head_scanner.h
@@ -16,14 +16,16 @@
     statusLine, ///< not a status line of HTTP/1.0 or HTTP/1.1
     status,     ///< three digits outside of 100 to 599
     upgrade,    ///< 101 Switching Protocols, for which no request asks
+    fieldName,  ///< a field without a name, or a byte that no name of a field may have
+    fieldValue, ///< a control byte in the value of a field, or a value folded into a second line
 };
 
 /// Machine-readable name of a defect. Thread safe.
 const char *httpDefectName(HttpDefect defect);
 
 /// Checks the bytes of a message's head against the grammar, in parts of any size, and finds the
-/// end of the head. Stricter than http_parser, which accepts any digits as a status. Lines may end
-/// with a bare LF. Deterministic; not thread safe.
+/// end of the head. Stricter than http_parser, which accepts any digits as a status and blanks in
+/// the names of fields. Lines may end with a bare LF. Deterministic; not thread safe.
 class HttpHeadScanner
 {
 public:
@@ -48,7 +50,8 @@
         startLine,
         reason, ///< rest of a status line behind the status
         lineStart,
-        field,
+        fieldName,
+        fieldValue,
         lineFeed,    ///< the LF of a CRLF
         endLineFeed, ///< the LF of the CRLF that ends the head
         complete,
@@ -61,6 +64,7 @@
 
     HttpMessageKind kind;
     State state{ State::beforeStart };
+    bool hasField{ false }; ///< a line of fields has been scanned
     HttpDefect currentDefect{ HttpDefect::none };
     std::size_t position{ 0 }; ///< bytes of the status line so far
     int statusCode{ 0 };
--- a/tests/broken_responses.h
+++ b/tests/broken_responses.h
@@ -60,4 +60,52 @@
     return responses;
 }
 
+/// Lines that no head may hold: names with blanks or control bytes, and values with control bytes.
+inline std::vector<std::string> brokenFieldLines()
+{
+    return {
+        "Name : v",
+        "Name\t: v",
+        "Na me: v",
+        " Name: v",
+        "\tName: v",
+        ": v",
+        "Name",
+        "Na\x01me: v",
+        "Na\x7fme: v",
+        "N\xe4me: v",
+        "Na\rme: v",
+        "Na(me): v",
+        "\"Name\": v",
+        textOf("Na\0me: v"),
+        "Name: v\x01w",
+        "Name: v\x1b[0m",
+        "Name: v\x7fw",
+        "Name: v\rw",
+        "Name: v\r",
+        textOf("Name: v\0w"),
+        "Name: v\r\n folded",
+        "Name: v\r\n\tfolded",
+        "Content-Length : 1",
+        "Content-Length\t: 1",
+        "Transfer-Encoding : chunked",
+    };
+}
+
+/// Responses that hold such a line as their first or last field, in the final head or in an interim
+/// one.
+inline std::vector<std::string> responsesWithBrokenFields()
+{
+    std::vector<std::string> responses;
+    const std::string sound = std::string(kStatusLine) + std::string(kSizedRest);
+    for (const std::string &line : brokenFieldLines()) {
+        const std::string field = line + "\r\n";
+        responses.push_back(std::string(kStatusLine) + field + std::string(kSizedRest));
+        responses.push_back(std::string(kStatusLine) + "Content-Length: 2\r\n" + field + "\r\nok");
+        responses.push_back("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n" + sound);
+    }
+    responses.push_back(std::string(kStatusLine) + "Content-Length: 2\r\n\rxok");
+    return responses;
+}
+
 } // namespace egret
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -153,3 +153,9 @@
 {
     expectIncomplete(responsesWithBrokenStatusLine());
 }
+
+// Guards against names and values that no field may have, and that are passed on.
+TEST(HttpClient, RejectsBrokenFields)
+{
+    expectIncomplete(responsesWithBrokenFields());
+}
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -167,6 +167,39 @@
     }
 }
 
+// Guards against a name or value that two readers understand differently, so that a line is passed
+// on that the server never meant, or the body ends elsewhere.
+TEST(HttpReader, RejectsBrokenFields)
+{
+    expectMalformed(responsesWithBrokenFields());
+}
+
+// Guards against requests that pass a field by the gateway which the upstream understands.
+TEST(HttpReader, RejectsBrokenFieldsOfRequests)
+{
+    for (const std::string &line : brokenFieldLines()) {
+        HttpReader reader({ .kind = HttpMessageKind::request });
+        reader.feed("GET / HTTP/1.1\r\nHost: a\r\n" + line + "\r\n\r\n");
+        EXPECT_EQ(reader.fault(), HttpFault::malformed) << line;
+    }
+}
+
+// Guards against rejecting fields that are unusual but valid.
+TEST(HttpReader, AcceptsEveryValidField)
+{
+    for (const std::string field : { "X:", "x-!#$%&'*+.^_`|~9: v", "X:v \t", "X: a\tb \xe4\xff" }) {
+        for (const std::string lineEnd : { "\r\n", "\n" }) {
+            const std::string response =
+                    "HTTP/1.1 200 OK" + lineEnd + field + lineEnd + "Content-Length: 2" + lineEnd;
+            EXPECT_EQ(faultOf(response + lineEnd + "ok", 1), HttpFault::none) << field;
+        }
+    }
+    EXPECT_EQ(faultOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=\"b\"\r\nok\r\n"
+                      "0\r\nChecked: yes\r\n\r\n",
+                      1),
+              HttpFault::none);
+}
+
 /// The parsed body does not depend on how the message is split across calls of `feed`.
 TEST(HttpReader, ParsesTheSameBodyForAnySplitOfTheBytes)
 {
