Reject responses whose body has no certain end

What callers could see: a body that ends where its engine never meant it to end.

Cause: http_parser, not built strict, takes any two bytes for the CRLF behind a chunk, any byte for the LF behind a chunk's size, and any bytes as extension; it reads a body with an empty Content-Length, or with a coding other than chunked, until the connection closes, although the coding isn't passed on; and for 204 and 304 it waits for as many bytes as the head's Content-Length names, which no server sends. libcurl accepts contradictory lengths and codings.

Change: http_parser only parses heads. bodyFraming decides from the head where the body ends, at HttpPool and HttpClient alike; contradictory heads are malformed, also interim ones with a length or a coding. ChunkedBody decodes chunks by the grammar, with its trailer checked by HttpHeadScanner. HttpClient keeps empty fields, and no fields of trailers.

Sound framing is accepted before and after: HttpReader.AcceptsEveryValidFraming. Remains: libcurl itself decodes chunks for HttpClient and ignores what follows a chunk's size; the data's length is still the one announced.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,9 +1,11 @@
 #include "http_client.h"
 
+#include "http_body.h"
 #include "http_head_scanner.h"
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <future>
@@ -31,6 +33,7 @@
     curl_slist *headers{ nullptr };
     bool headDelivered{ false };
     HttpHeadScanner scanner{ HttpMessageKind::response };
+    bool isInTrailer{ false };
     std::size_t headBytes{ 0 }; ///< bytes of heads received, with interim ones
     std::size_t bodyBytes{ 0 }; ///< bytes of the body received
     std::string fault;          ///< why the response can't be used; empty for none
@@ -41,20 +44,51 @@
         curl_easy_cleanup(this->curlEasy);
     }
 
-    /// Checks a line of a head, which libcurl passes on with nearly any content. Returns false,
-    /// and sets the fault, when the line is not valid.
-    bool checkHeadLine(std::string_view line)
+    /// Handles a line of a head or trailer, which libcurl passes on with nearly any content.
+    /// Returns false, and sets the fault, when the line is not valid.
+    bool onHeadLine(std::string_view line)
     {
-        if (this->scanner.isComplete()) {
-            if (this->scanner.status() >= kFirstFinalStatus)
-                return true; // a trailer
-            this->scanner.reset();
-            this->result.headers.clear();
+        if (this->scanner.isComplete() && !this->isInTrailer) {
+            this->isInTrailer = this->scanner.status() >= kFirstFinalStatus;
+            if (this->isInTrailer) {
+                this->scanner.beginTrailer();
+            } else {
+                this->scanner.reset();
+                this->result.headers.clear();
+            }
         }
-        if (this->scanner.scan(line) == line.size())
-            return true;
-        this->fault = httpDefectName(this->scanner.defect());
-        return false;
+        const bool isField = this->scanner.hasStarted() && !this->isInTrailer;
+        if (this->scanner.scan(line) != line.size())
+            this->fault = httpDefectName(this->scanner.defect());
+        else if (this->scanner.isComplete() && !this->isInTrailer && !this->hasSoundFraming())
+            this->fault = httpDefectName(HttpDefect::framing);
+        else if (isField)
+            this->addHeader(line);
+        return this->fault.empty();
+    }
+
+    /// Adds a valid line, unless it is the blank one that ends the head, to the headers.
+    void addHeader(std::string_view line)
+    {
+        constexpr std::string_view blanks = " \t\r\n";
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos)
+            return;
+        const std::string_view name = line.substr(0, colon);
+        line.remove_prefix(colon + 1);
+        const auto first = line.find_first_not_of(blanks);
+        line.remove_prefix(std::min(first, line.size()));
+        line = line.substr(0, line.find_last_not_of(blanks) + 1);
+        this->result.headers.emplace_back(name, line);
+    }
+
+    /// Checks the framing of a complete head.
+    bool hasSoundFraming() const
+    {
+        return bodyFraming(this->result.headers, { .minorVersion = this->scanner.minorVersion(),
+                                                   .status = this->scanner.status(),
+                                                   .answersHead = this->call.method == "HEAD" })
+                .has_value();
     }
 
     /// Calls `onHeaders` and `onHead` once.
@@ -100,19 +134,7 @@
         transfer->fault = "head-too-large";
         return 0;
     }
-    const std::string line(data, size * count);
-    if (!transfer->checkHeadLine(line))
-        return 0;
-    const auto colon = line.find(':');
-    if (colon != std::string::npos) {
-        const auto valueBegin = line.find_first_not_of(' ', colon + 1);
-        const auto valueEnd = line.find_last_not_of("\r\n");
-        if (valueBegin != std::string::npos && valueEnd != std::string::npos
-            && valueEnd >= valueBegin)
-            transfer->result.headers.emplace_back(
-                    line.substr(0, colon), line.substr(valueBegin, valueEnd - valueBegin + 1));
-    }
-    return size * count;
+    return transfer->onHeadLine({ data, size * count }) ? size * count : 0;
 }
 
 } // namespace
--- a/src/http_head_scanner.cpp
+++ b/src/http_head_scanner.cpp
@@ -12,13 +12,6 @@
 constexpr int kMaxStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 
-/// True for the bytes of field values and reason phrases.
-bool isText(char c)
-{
-    const auto byte = static_cast<unsigned char>(c);
-    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
-}
-
 bool isDigit(char c)
 {
     return c >= '0' && c <= '9';
@@ -34,6 +27,12 @@
 
 } // namespace
 
+bool isFieldText(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
 const char *httpDefectName(HttpDefect defect)
 {
     switch (defect) {
@@ -51,6 +50,10 @@
         return "malformed-field-name";
     case HttpDefect::fieldValue:
         return "malformed-field-value";
+    case HttpDefect::framing:
+        return "contradictory-framing";
+    case HttpDefect::chunk:
+        return "malformed-chunk";
     }
     return "unknown";
 }
@@ -62,6 +65,13 @@
     this->currentDefect = HttpDefect::none;
     this->position = 0;
     this->statusCode = 0;
+    this->minor = 1;
+}
+
+void HttpHeadScanner::beginTrailer()
+{
+    this->reset();
+    this->state = State::lineStart;
 }
 
 std::size_t HttpHeadScanner::scan(std::string_view bytes)
@@ -100,7 +110,7 @@
             return State::lineFeed;
         if (c == '\n')
             return State::lineStart;
-        return isText(c) ? State::reason : this->reject(HttpDefect::statusLine);
+        return isFieldText(c) ? State::reason : this->reject(HttpDefect::statusLine);
     case State::lineStart:
         if (c == '\r')
             return State::endLineFeed;
@@ -120,7 +130,7 @@
             return State::lineFeed;
         if (c == '\n')
             return State::lineStart;
-        return isText(c) ? State::fieldValue : this->reject(HttpDefect::fieldValue);
+        return isFieldText(c) ? State::fieldValue : this->reject(HttpDefect::fieldValue);
     case State::lineFeed:
         return c == '\n' ? State::lineStart : this->reject(HttpDefect::syntax);
     case State::endLineFeed:
@@ -145,6 +155,8 @@
         return c == kStatusLineForm[at] ? State::startLine : this->reject(HttpDefect::statusLine);
     if (!isDigit(c) || (at == kMinorVersionAt && c > '1'))
         return this->reject(HttpDefect::statusLine);
+    if (at == kMinorVersionAt)
+        this->minor = c - '0';
     if (at < kStatusAt)
         return State::startLine;
     this->statusCode = 10 * this->statusCode + (c - '0');
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -98,6 +98,8 @@
                      this->options.kind == HttpMessageKind::request ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser.data = this;
     this->scanner.reset();
+    this->framing = {};
+    this->chunkedBody = {};
     this->currentHead = {};
     this->body.clear();
     this->headBytes = this->headStringBytes = this->bodyBytes = 0;
@@ -131,50 +133,79 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !this->messageComplete
            && this->currentFault == HttpFault::none) {
-        std::string_view rest = bytes.substr(consumed);
-        if (!this->headComplete)
-            rest = rest.substr(0, this->scanner.scan(rest));
-        const std::size_t parsed = rest.empty() ? 0 : this->parse(rest);
-        consumed += parsed;
-        if (this->scanner.defect() != HttpDefect::none && this->currentFault == HttpFault::none)
-            this->reject(this->scanner.defect());
-        if (parsed == 0)
-            break;
+        const std::string_view rest = bytes.substr(consumed);
+        consumed += this->headComplete ? this->feedBody(rest) : this->feedHead(rest);
     }
     return consumed;
 }
 
-std::size_t HttpReader::parse(std::string_view bytes)
+std::size_t HttpReader::feedHead(std::string_view bytes)
 {
-    const std::size_t parsed = http_parser_execute(&this->parser, &HttpReader::parserCallbacks(),
-                                                   bytes.data(), bytes.size());
-    if (!this->headComplete)
-        this->headBytes += parsed;
+    const std::string_view valid = bytes.substr(0, this->scanner.scan(bytes));
+    std::size_t parsed = 0;
+    if (!valid.empty())
+        parsed = http_parser_execute(&this->parser, &HttpReader::parserCallbacks(), valid.data(),
+                                     valid.size());
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
-    if (this->isInterim) {
-        // The final response answers the same request: `hasNoBody` and the limit still apply.
-        const bool savedHasNoBody = this->hasNoBody;
-        const std::size_t savedHeadBytes = this->headBytes;
-        this->reset();
-        this->hasNoBody = savedHasNoBody;
-        this->headBytes = savedHeadBytes;
-        if (this->headBytes > this->options.maxHeadBytes)
-            this->currentFault = HttpFault::headTooLarge;
-    } else if (error != HPE_OK && error != HPE_PAUSED && this->currentFault == HttpFault::none) {
-        this->reject(HttpDefect::syntax);
-    } else if (!this->headComplete && this->headBytes > this->options.maxHeadBytes) {
+    this->headBytes += parsed;
+    if (this->isInterim)
+        this->skipInterimHead();
+    else if (this->currentFault != HttpFault::none || this->headComplete)
+        return parsed;
+    else if (this->scanner.defect() != HttpDefect::none)
+        this->reject(this->scanner.defect());
+    else if (error != HPE_OK || this->scanner.isComplete())
+        this->reject(error == HPE_UNEXPECTED_CONTENT_LENGTH || error == HPE_INVALID_CONTENT_LENGTH
+                             ? HttpDefect::framing
+                             : HttpDefect::syntax);
+    if (this->currentFault == HttpFault::none && this->headBytes > this->options.maxHeadBytes)
         this->currentFault = HttpFault::headTooLarge;
-    }
     return parsed;
 }
 
+void HttpReader::skipInterimHead()
+{
+    // The final response answers the same request: `hasNoBody` and the limit still apply.
+    const bool savedHasNoBody = this->hasNoBody;
+    const std::size_t savedHeadBytes = this->headBytes;
+    this->reset();
+    this->hasNoBody = savedHasNoBody;
+    this->headBytes = savedHeadBytes;
+}
+
+std::size_t HttpReader::feedBody(std::string_view bytes)
+{
+    const std::size_t sizeBefore = this->body.size();
+    std::size_t consumed = bytes.size();
+    if (this->framing.end == BodyEnd::chunk) {
+        consumed = this->chunkedBody.feed(bytes, this->body);
+        this->messageComplete = this->chunkedBody.isComplete();
+        if (this->chunkedBody.defect() != HttpDefect::none)
+            this->reject(this->chunkedBody.defect());
+    } else {
+        if (this->framing.end == BodyEnd::length)
+            consumed =
+                    std::min<std::uint64_t>(bytes.size(), this->framing.length - this->bodyBytes);
+        this->body.append(bytes.substr(0, consumed));
+    }
+    this->bodyBytes += this->body.size() - sizeBefore;
+    if (this->framing.end == BodyEnd::length)
+        this->messageComplete = this->bodyBytes == this->framing.length;
+    if (this->bodyBytes > this->options.maxBodyBytes) {
+        this->body.resize(sizeBefore);
+        this->messageComplete = false;
+        this->currentFault = HttpFault::bodyTooLarge;
+    }
+    return consumed;
+}
+
 void HttpReader::finish()
 {
     if (this->messageComplete || this->currentFault != HttpFault::none)
         return;
-    if (this->headComplete)
-        http_parser_execute(&this->parser, &HttpReader::parserCallbacks(), nullptr, 0);
-    if (!this->messageComplete)
+    if (this->headComplete && this->framing.end == BodyEnd::close)
+        this->messageComplete = true;
+    else
         this->currentFault = HttpFault::truncated;
 }
 
@@ -192,8 +223,6 @@
         result.on_header_field = &HttpReader::onHeaderField;
         result.on_header_value = &HttpReader::onHeaderValue;
         result.on_headers_complete = &HttpReader::onHeadersComplete;
-        result.on_body = &HttpReader::onBody;
-        result.on_message_complete = &HttpReader::onMessageComplete;
         return result;
     }();
     return callbacks;
@@ -248,45 +277,33 @@
 
 int HttpReader::processHead()
 {
-    if (this->options.kind == HttpMessageKind::request) {
+    const bool isRequest = this->options.kind == HttpMessageKind::request;
+    if (isRequest)
         this->currentHead.method = http_method_str(static_cast<http_method>(this->parser.method));
-        const bool isSized = (this->parser.flags & F_CONTENTLENGTH) != 0;
-        const bool isChunked = (this->parser.flags & F_CHUNKED) != 0;
-        this->currentHead.hasBody = isChunked || (isSized && this->parser.content_length > 0);
-        if (isSized && this->parser.content_length > this->options.maxBodyBytes)
-            this->currentFault = HttpFault::bodyTooLarge;
-    } else {
+    else
         this->currentHead.status = this->parser.status_code;
-        this->isInterim = this->currentHead.status < kFirstFinalStatus;
-    }
     this->currentHead.keepsAlive = http_should_keep_alive(&this->parser) != 0;
+    const auto headFraming =
+            bodyFraming(this->currentHead.headers, { .kind = this->options.kind,
+                                                     .minorVersion = this->parser.http_minor,
+                                                     .status = this->currentHead.status,
+                                                     .answersHead = this->hasNoBody });
+    if (!headFraming) {
+        this->reject(HttpDefect::framing);
+        return -1;
+    }
+    this->isInterim = !isRequest && this->currentHead.status < kFirstFinalStatus;
     if (this->isInterim)
-        return 0;
+        return 1;
+    this->framing = *headFraming;
     this->headComplete = true;
-    if (this->currentFault != HttpFault::none)
-        return -1;
-    return this->hasNoBody ? 1 : 0;
-}
-
-int HttpReader::onBody(http_parser *parser, const char *data, std::size_t size)
-{
-    HttpReader &reader = fromParser(parser);
-    reader.bodyBytes += size;
-    if (reader.bodyBytes > reader.options.maxBodyBytes) {
-        reader.currentFault = HttpFault::bodyTooLarge;
+    this->currentHead.hasBody = isRequest && this->framing.end != BodyEnd::head;
+    this->messageComplete = this->framing.end == BodyEnd::head;
+    if (isRequest && this->framing.length > this->options.maxBodyBytes) {
+        this->currentFault = HttpFault::bodyTooLarge;
         return -1;
     }
-    reader.body.append(data, size);
-    return 0;
-}
-
-int HttpReader::onMessageComplete(http_parser *parser)
-{
-    HttpReader &reader = fromParser(parser);
-    reader.messageComplete = !reader.isInterim;
-    // Pausing makes http_parser_execute return at the end of the message.
-    http_parser_pause(parser, 1);
-    return 0;
+    return 1;
 }
 
 } // namespace egret
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_body.h"
 #include "http_head_scanner.h"
 #include "http_server.h"
 
@@ -64,9 +65,8 @@
     /// Precondition: the message is not complete and has no fault.
     std::size_t feed(std::string_view bytes);
 
-    /// Handles an orderly close by the peer. The close completes a response that has neither
-    /// a Content-Length nor a chunked body; any other incomplete message gets the fault
-    /// `truncated`.
+    /// Handles an orderly close by the peer. The close completes a response whose body ends with
+    /// the connection; any other incomplete message gets the fault `truncated`.
     void finish();
 
     bool hasStarted() const { return this->headBytes > 0; }
@@ -97,24 +97,27 @@
     static int onHeaderField(http_parser *parser, const char *data, std::size_t size);
     static int onHeaderValue(http_parser *parser, const char *data, std::size_t size);
     static int onHeadersComplete(http_parser *parser);
-    static int onBody(http_parser *parser, const char *data, std::size_t size);
-    static int onMessageComplete(http_parser *parser);
     static HttpReader &fromParser(http_parser *parser);
     static const http_parser_settings &parserCallbacks();
 
     /// Appends to a string of the head.
     void appendToHead(std::string &text, const char *data, std::size_t size);
-    /// Evaluates a complete head. Returns a result for http_parser: -1 rejects the message,
-    /// 1 means that no body follows, 0 continues.
+    /// Evaluates a complete head. Returns a result for http_parser: -1 rejects the message, 1 makes
+    /// it leave the body to this class.
     int processHead();
 
-    /// Passes bytes of a message to http_parser. Returns the number of bytes consumed.
-    std::size_t parse(std::string_view bytes);
+    /// Parses bytes of a head, or of a body. Returns the number of bytes consumed.
+    std::size_t feedHead(std::string_view bytes);
+    std::size_t feedBody(std::string_view bytes);
+    /// Handles the end of an interim head: the final response follows.
+    void skipInterimHead();
     void reject(HttpDefect defect);
 
     HttpReaderOptions options;
     HttpHeadScanner scanner;
-    http_parser parser{};
+    http_parser parser{}; ///< parses heads
+    BodyFraming framing;
+    ChunkedBody chunkedBody;
     HttpHead currentHead;
     std::string body;
     std::size_t headBytes{ 0 };         ///< bytes of the heads parsed so far, with interim ones
--- a/tests/broken_responses.h
+++ b/tests/broken_responses.h
@@ -108,4 +108,88 @@
     return responses;
 }
 
+/// Responses whose body ends at one byte for one reader and at another byte for the next one.
+inline std::vector<std::string> responsesWithBrokenFraming()
+{
+    const std::vector<std::string> fields = {
+        "Content-Length: 2\r\nContent-Length: 2",
+        "Content-Length: 2\r\nContent-Length: 3",
+        "Content-Length: 2, 2",
+        "Content-Length: +2",
+        "Content-Length: -2",
+        "Content-Length: 2x",
+        "Content-Length: 0x2",
+        "Content-Length: 2 2",
+        "Content-Length:",
+        "Content-Length: 99999999999999999999",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: chunked;q=1",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding:",
+    };
+    std::vector<std::string> responses;
+    responses.reserve(2 * fields.size() + 3);
+    // The body fits both a length of 2 and a chunk, as far as one can.
+    for (const std::string &field : fields) {
+        responses.push_back(std::string(kStatusLine) + field + "\r\n\r\nok");
+        responses.push_back(std::string(kStatusLine) + field + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    }
+    const std::string sound = std::string(kStatusLine) + std::string(kSizedRest);
+    responses.push_back(
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    responses.push_back("HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" + sound);
+    responses.push_back("HTTP/1.1 100 Go on\r\nTransfer-Encoding: chunked\r\n\r\n" + sound);
+    return responses;
+}
+
+/// Chunked responses with a broken trailer.
+inline std::vector<std::string> responsesWithBrokenTrailer()
+{
+    std::vector<std::string> responses;
+    for (const std::string &line : brokenFieldLines())
+        responses.push_back(std::string(kStatusLine)
+                            + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line
+                            + "\r\n\r\n");
+    return responses;
+}
+
+/// Chunked responses that don't follow the grammar of chunks.
+inline std::vector<std::string> responsesWithBrokenChunks()
+{
+    std::vector<std::string> responses;
+    const std::vector<std::string> bodies = {
+        "2\r\nokay\r\n0\r\n\r\n",
+        "2\r\nokXY0\r\n\r\n",
+        "2\r\nok\n0\r\n\r\n",
+        "2\nok\r\n0\r\n\r\n",
+        "2\rXok\r\n0\r\n\r\n",
+        "2\r\nok\rX0\r\n\r\n",
+        "2\r\nok\r\n0\rX\r\n",
+        "2\r\nok\r\n0\r\n\rX",
+        "g\r\nok\r\n0\r\n\r\n",
+        "\r\nok\r\n0\r\n\r\n",
+        ";x\r\nok\r\n0\r\n\r\n",
+        "-2\r\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n",
+        "10000000000000002\r\nok\r\n0\r\n\r\n",
+        "2;a\x01"
+        "b\r\nok\r\n0\r\n\r\n",
+        "2 2\r\nok\r\n0\r\n\r\n",
+        textOf("2\0\r\nok\r\n0\r\n\r\n"),
+        "2;" + std::string(1U << 20U, 'x') + "\r\nok\r\n0\r\n\r\n",
+        "2\r\nok\r\n0\r\nX: " + std::string(1U << 20U, 'x') + "\r\n\r\n",
+    };
+    responses.reserve(bodies.size());
+    for (const std::string &body : bodies)
+        responses.push_back(std::string(kStatusLine) + "Transfer-Encoding: chunked\r\n\r\n" + body);
+    return responses;
+}
+
 } // namespace egret
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -159,3 +159,26 @@
 {
     expectIncomplete(responsesWithBrokenFields());
 }
+
+// Guards against fields that a response doesn't have: those of interim heads and of trailers, and a
+// status line with a colon.
+TEST(HttpClient, ReturnsTheFieldsOfTheFinalHeadOnly)
+{
+    const FaultyServer server({ .bytes = "HTTP/1.1 103 Early Hints\r\nEarly: 1\r\n\r\n"
+                                         "HTTP/1.1 200 O: K\r\nEmpty:\r\nFull: \ta b \r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                         "2\r\nok\r\n0\r\nLate: 1\r\n\r\n" });
+    const HttpResult result = callFaulty(server, 0, "GET");
+    EXPECT_TRUE(result.complete) << result.error;
+    const HttpHeaders expected = { { "Empty", "" },
+                                   { "Full", "a b" },
+                                   { "Transfer-Encoding", "chunked" } };
+    EXPECT_EQ(result.headers, expected);
+}
+
+// Guards against a body that ends where the server never meant it to end.
+TEST(HttpClient, RejectsBrokenFraming)
+{
+    expectIncomplete(responsesWithBrokenFraming());
+    expectIncomplete(responsesWithBrokenTrailer());
+}
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -200,6 +200,55 @@
               HttpFault::none);
 }
 
+// Guards against a body that ends where the server never meant it to end.
+TEST(HttpReader, RejectsBrokenFraming)
+{
+    expectMalformed(responsesWithBrokenFraming());
+    expectMalformed(responsesWithBrokenChunks());
+    expectMalformed(responsesWithBrokenTrailer());
+}
+
+// Guards against rejecting bodies that are framed in an unusual but valid way.
+TEST(HttpReader, AcceptsEveryValidFraming)
+{
+    const std::vector<std::pair<std::string, std::string>> responses = {
+        { "Content-Length: \t2 \r\n\r\nok", "ok" },
+        { "Content-Length: 0002\r\n\r\nok", "ok" },
+        { "transfer-encoding:\tCHUNKED \r\n\r\n02\r\nok\r\n000\r\n\r\n", "ok" },
+        { "Transfer-Encoding: chunked\r\n\r\nA;a=\"b\"\r\n0123456789\r\n1  \r\nx\r\n0;z\r\nT: "
+          "v\r\n\r\n",
+          "0123456789x" },
+        { "Connection: close\r\n\r\nok", "ok" },
+        { "\r\n", "" },
+    };
+    for (const auto &[rest, body] : responses) {
+        HttpReader reader({ .kind = HttpMessageKind::response });
+        std::string received;
+        for (const char c : std::string(kStatusLine) + rest) {
+            EXPECT_EQ(reader.feed(std::string_view(&c, 1)), 1U) << rest;
+            received += reader.takeBody();
+        }
+        reader.finish();
+        EXPECT_TRUE(reader.isComplete()) << rest << reader.faultReason();
+        EXPECT_EQ(received, body) << rest;
+    }
+}
+
+// Guards against a call that waits for the body of a response that has none.
+TEST(HttpReader, ResponsesWithoutContentEndWithTheirHead)
+{
+    for (const std::string status : { "204 No Content", "304 Not Modified" }) {
+        for (const std::string field :
+             { "", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n" }) {
+            HttpReader reader({ .kind = HttpMessageKind::response });
+            const std::string head = "HTTP/1.1 " + status + "\r\n" + field + "\r\n";
+            EXPECT_EQ(reader.feed(head + "HTTP/1.1"), head.size());
+            EXPECT_TRUE(reader.isComplete()) << head;
+            EXPECT_TRUE(reader.head().keepsAlive) << head;
+        }
+    }
+}
+
 /// The parsed body does not depend on how the message is split across calls of `feed`.
 TEST(HttpReader, ParsesTheSameBodyForAnySplitOfTheBytes)
 {
