Count broken answers and log their reason with the request's id

Cause: a gateway's line "attempt failed" called every invalid answer "malformed" and did not say whether an answer had arrived at all; nothing counted such answers; stagers and agents were silent.

Change: HttpPool counts the calls that ended with a part of a response, by reason: egret_broken_answers_total of gateways and stagers. "attempt failed" has the reason and the bytes thrown away. Answers that are sound HTTP but can't be used count as egret_unusable_answers_total, with the reason in place of answer-spoiled.

Evidence: BrokenAnswers.NeverReachAClient sends 11 kinds of broken answers through a gateway, each to a request that may run once and to one that may run twice: the client gets 502 without a body, the action is sent once, the other at most twice, and each attempt is counted. With the error of the write ignored again (HttpPool::endOfInput), the client gets 200 and "a part" on both paths. SoundAnswersReachTheClient and AnEarlyRefusalIsTold hold the other side; UpstreamProxy.ABrokenAnswerIsNoAnswerAndMayHaveRun does so for an agent.

--- a/src/action_runner.cpp
+++ b/src/action_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "digest.h"
 #include "log.h"
+#include "upstream_proxy.h"
 
 #include <algorithm>
 #include <map>
@@ -428,6 +429,8 @@
             return false;
         const bool isWhole =
                 end.outcome == ServeOutcome::whole && end.total == action->received.body.size();
+        if (end.reason == kBrokenAnswer)
+            ++this->counters.brokenAnswers;
         ActionAttemptEnded event{ .actionStatus = end.actionStatus, .reason = end.reason };
         if (isWhole)
             event.answer = action->received;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -277,6 +277,7 @@
         appendCounter("requests_failed_total", counters.failed);
         appendCounter("requests_retried_total", counters.retried);
         appendCounter("answers_crossed_total", counters.mismatchedAnswers);
+        appendCounter("broken_answers_total", counters.brokenAnswers);
         text += this->members.metricsText();
         appendCounter("datagram_sent_bytes_total", this->datagrams.sentBytes());
         appendCounter("datagram_received_bytes_total", this->datagrams.receivedBytes());
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -190,6 +190,8 @@
     // Attempts whose connection the upstream closed, before and after the first event.
     std::uint64_t closedBeforeBegin{ 0 };
     std::uint64_t closedAfterBegin{ 0 };
+    /// Complete answers that were thrown away, by reason. `HttpPoolCounters` has the broken ones.
+    std::map<std::string, std::uint64_t> unusableAnswers;
 };
 
 HttpFrontendOptions frontendOptions(const NodeSettings &settings)
@@ -402,6 +404,10 @@
         appendMetric("upstream_connections_failed_total", poolCounters.failed);
         appendMetric("answers_skipped_total", poolCounters.skipped);
         appendMetric("answers_with_surplus_total", poolCounters.surplus);
+        for (const auto &[reason, count] : poolCounters.brokenResponses)
+            appendMetric("broken_answers_total{reason=\"" + reason + "\"}", count);
+        for (const auto &[reason, count] : this->counters.unusableAnswers)
+            appendMetric("unusable_answers_total{reason=\"" + reason + "\"}", count);
         appendMetric("document_number", this->plan ? this->plan->plan().number : 0);
         if (this->plan)
             this->appendHintRatios(text);
@@ -1252,13 +1258,21 @@
             this->breakOffAttempt(exchange, isOtherVersion ? "other-weights" : "no-stream");
     }
 
+    /// Records that an answer is thrown away although its connection is sound.
+    void recordUnusableAnswer(const Exchange &exchange, const std::string &reason)
+    {
+        ++this->counters.unusableAnswers[reason];
+        logInfo("answer can't be used", { { "request", exchange.metadata.id },
+                                          { "upstream", exchange.upstream },
+                                          { "status", exchange.head.status },
+                                          { "reason", reason } });
+    }
+
     /// Ends an attempt whose answer can't be used.
     void breakOffAttempt(const ExchangePtr &exchange, const std::string &reason)
     {
         const TimePoint now = bootNow();
-        logInfo("answer can't be used", { { "request", exchange->metadata.id },
-                                          { "upstream", exchange->upstream },
-                                          { "reason", reason } });
+        this->recordUnusableAnswer(*exchange, reason);
         this->upstreamCalls.cancel(std::exchange(exchange->callId, 0));
         this->selector.onEnded(exchange->upstream, false, now);
         this->applyDecision(exchange, exchange->lifecycle.onAttemptBroken(reason, now));
@@ -1384,6 +1398,7 @@
     void dropAnswer(const ExchangePtr &exchange)
     {
         const TimePoint now = bootNow();
+        ++this->counters.unusableAnswers["answer-too-large"];
         logWarn("answer is too large", { { "request", exchange->metadata.id },
                                          { "upstream", exchange->upstream },
                                          { "bufferedBytes", this->answerBuffers.total() } });
@@ -1432,6 +1447,7 @@
                   { "closedByUpstream", end.isServerClose },
                   { "segments", exchange->metadata.promptSegments },
                   { "requestDigest", end.isServerClose ? suspectsOf(*exchange).back() : "" },
+                  { "discardedBytes", end.discardedBytes },
                   { "detail", end.detail } });
         if (end.isServerClose)
             this->onClosedByUpstream(*exchange, now);
@@ -1462,6 +1478,21 @@
             this->viewReader.sendToAll(report);
     }
 
+    /// Reason why a complete answer with a success status is not what the request asked for; empty
+    /// for none.
+    static std::string successProblem(const Exchange &exchange)
+    {
+        if (!exchange.answer.hasServerStamp)
+            return "no-stamp";
+        if (exchange.answer.isEncoded)
+            return "encoded";
+        if (exchange.isStreamed && exchange.events.partialBytes() > 0)
+            return "partial-event";
+        if (exchange.isStreamed && !exchange.events.hasReachedPosition())
+            return "other-position";
+        return "";
+    }
+
     /// Handles a complete answer of an upstream.
     void onComplete(const ExchangePtr &exchange)
     {
@@ -1478,14 +1509,13 @@
         }
         if (!isSuccess(status))
             return this->onFailure(exchange, now);
-        const bool isInvalid = !exchange->answer.hasServerStamp || exchange->answer.isEncoded
-                               || (exchange->isStreamed
-                                   && (exchange->events.partialBytes() > 0
-                                       || !exchange->events.hasReachedPosition()));
-        this->selector.onEnded(exchange->upstream, isInvalid, now);
-        if (isInvalid)
+        const std::string problem = successProblem(*exchange);
+        this->selector.onEnded(exchange->upstream, !problem.empty(), now);
+        if (!problem.empty()) {
+            this->recordUnusableAnswer(*exchange, problem);
             return this->applyDecision(exchange,
                                        exchange->lifecycle.onAttemptBroken("answer-spoiled", now));
+        }
         if (exchange->isStreamed) {
             this->startStream(*exchange);
             exchange->reply->finish();
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -193,7 +193,8 @@
                             nullptr);
         }
         while (!this->transfers.empty())
-            this->endTransfer(this->transfers.begin()->first, "client stopped", false);
+            this->endTransfer(this->transfers.begin()->first, CURLE_ABORTED_BY_CALLBACK,
+                              "client stopped");
     }
 
     void processCommands()
@@ -208,7 +209,7 @@
         for (auto &[callId, call] : calls)
             this->beginTransfer(callId, std::move(call));
         for (const std::uint64_t callId : cancels)
-            this->endTransfer(callId, "cancelled", false);
+            this->endTransfer(callId, CURLE_ABORTED_BY_CALLBACK, "cancelled");
     }
 
     void beginTransfer(std::uint64_t callId, HttpCall call)
@@ -263,13 +264,14 @@
             char *callId = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &callId);
             const CURLcode code = message->data.result;
-            this->endTransfer(reinterpret_cast<std::uint64_t>(callId), curl_easy_strerror(code),
-                              code == CURLE_OK);
+            this->endTransfer(reinterpret_cast<std::uint64_t>(callId), code,
+                              curl_easy_strerror(code));
         }
     }
 
-    void endTransfer(std::uint64_t callId, const std::string &error, bool complete)
+    void endTransfer(std::uint64_t callId, CURLcode code, const std::string &error)
     {
+        const bool complete = code == CURLE_OK;
         const auto found = this->transfers.find(callId);
         if (found == this->transfers.end())
             return;
@@ -282,8 +284,11 @@
         curl_multi_remove_handle(this->curlMulti, transfer->curlEasy);
         transfer->result.complete = complete;
         transfer->result.requestSent = sentBytes > 0;
-        if (!complete)
+        if (!complete) {
             transfer->result.error = transfer->fault.empty() ? error : transfer->fault;
+            transfer->result.isBroken = transfer->headBytes > 0 || code == CURLE_WEIRD_SERVER_REPLY
+                                        || code == CURLE_UNSUPPORTED_PROTOCOL; // no status line
+        }
         if (transfer->call.onDone)
             transfer->call.onDone(std::move(transfer->result));
     }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -18,6 +18,8 @@
     std::string contentType;
     std::string body;  ///< empty when `onData` is set
     std::string error; ///< reason when the response is not complete
+    /// Bytes of a response had arrived, or bytes that are none, when the call ended incomplete.
+    bool isBroken{ false };
     HttpHeaders headers;
 };
 
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <map>
 
 namespace egret {
 
@@ -339,8 +338,13 @@
         this->close();
         const bool isServerClose =
                 outcome == CallOutcome::broken && (this->reachedEof || this->wasReset);
+        if (this->receivedBytes > 0)
+            ++this->poolState.counters.brokenResponses[detail];
         if (onEnd)
-            onEnd(CallEnd{ .outcome = outcome, .detail = detail, .isServerClose = isServerClose });
+            onEnd({ .outcome = outcome,
+                    .detail = detail,
+                    .isServerClose = isServerClose,
+                    .discardedBytes = this->receivedBytes });
     }
 
     asio::ip::tcp::socket socket;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     std::string detail; ///< reason when the outcome is not whole
     /// The server closed or reset the connection after at least a part of the request was sent.
     bool isServerClose{ false };
+    /// Bytes that had been received when the call ended without a complete response.
+    std::size_t discardedBytes{ 0 };
 };
 
 /// Request to which a response belongs, as its head tells.
@@ -80,6 +83,9 @@
     std::uint64_t failed{ 0 };  ///< connections that could not be opened
     std::uint64_t skipped{ 0 }; ///< late responses to other requests
     std::uint64_t surplus{ 0 }; ///< connections closed because bytes followed a complete response
+    /// Calls that ended with a part of a response, or with one that was invalid, by
+    /// `CallEnd::detail`.
+    std::map<std::string, std::uint64_t> brokenResponses;
 };
 
 /// HTTP/1.1 client that reuses connections, most recently used first. Each request is
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -7,6 +7,7 @@
 #include "prompt_prefix.h"
 #include "retry_budget.h"
 #include "route_queues.h"
+#include "upstream_proxy.h"
 
 #include <nlohmann/json.hpp>
 
@@ -610,6 +611,8 @@
         const bool isStream = exchange->isStreaming && exchange->status == 200;
         const bool isWhole = end.outcome == ServeOutcome::whole && end.total == exchange->received
                              && (!isStream || exchange->events.ended());
+        if (end.reason == kBrokenAnswer)
+            ++this->counters.brokenAnswers;
         if (!isWhole)
             return this->onAttemptFailed(exchange, end.reason, end.actionStatus);
         if (!this->removeExchange(exchange))
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -27,8 +27,9 @@
     std::atomic<std::uint64_t> retried{ 0 }; ///< retries after a failed attempt
     /// Agent messages with another attempt number, offset or identity than expected.
     std::atomic<std::uint64_t> mismatchedAnswers{ 0 };
-    std::atomic<std::uint64_t> firstSends{ 0 }; ///< first attempts sent
-    std::atomic<std::uint64_t> resumed{ 0 };    ///< attempts that resume a started stream
+    std::atomic<std::uint64_t> brokenAnswers{ 0 }; ///< answers cut off or invalid at an agent
+    std::atomic<std::uint64_t> firstSends{ 0 };    ///< first attempts sent
+    std::atomic<std::uint64_t> resumed{ 0 };       ///< attempts that resume a started stream
     /// Attempts that an agent refused before doing any work on them.
     std::atomic<std::uint64_t> refusedByAgent{ 0 };
     /// Streams ended because the client read too slowly.
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -168,6 +168,9 @@
         appendMetric("pieces_damaged_total", this->damagedPieceCount);
         appendMetric("load_orders_total", this->loadOrderCount);
         appendMetric("slow_start_permits_total", this->permitCount);
+        for (const auto &[reason, count] : this->httpCalls.counters().brokenResponses)
+            text += "egret_broken_answers_total{reason=\"" + reason + "\"} " + std::to_string(count)
+                    + "\n";
         return text;
     }
 
@@ -1054,7 +1057,13 @@
                 .onHead = [pending](const HttpHead &head) { pending->result.status = head.status; },
                 .onBody = [pending](std::string &&part) { pending->result.body += part; },
                 .onEnd =
-                        [finish](const CallEnd &callEnd) {
+                        [finish, target = call.target, to](const CallEnd &callEnd) {
+                            if (callEnd.discardedBytes > 0)
+                                logInfo("answer broke off or was invalid",
+                                        { { "server", to.text() },
+                                          { "target", target },
+                                          { "reason", callEnd.detail },
+                                          { "discardedBytes", callEnd.discardedBytes } });
                             finish(callEnd.outcome == CallOutcome::whole);
                         },
         });
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -482,6 +482,9 @@
         for (std::uint32_t i = 0; i < this->options.zoneCount; ++i) {
             this->impl->services.push_back(makeUpstream(serviceKind, i, kPlainService));
             areAllBound = this->impl->listen(*this->impl->services.back()) && areAllBound;
+            if (i < this->options.serviceEndpoints.size())
+                this->impl->services.back()->record.endpoint =
+                        this->options.serviceEndpoints[i].text();
         }
         this->impl->originFrontend = this->impl->listen(
                 endpointOf(originKind, 0),
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -58,6 +58,8 @@
     /// Engines break off a stream that is not resumed after this number of events; 0 for never.
     std::uint64_t breakAfterEvents{ 0 };
     ResumedAnswer resumedAnswer{ ResumedAnswer::sound };
+    /// Endpoints that the services announce instead of their own, by number.
+    std::vector<Endpoint> serviceEndpoints;
 };
 
 /// Counters of one simulated upstream: an engine, which serves model weights, or a service, which
--- a/src/upstream_proxy.cpp
+++ b/src/upstream_proxy.cpp
@@ -1,5 +1,6 @@
 #include "upstream_proxy.h"
 
+#include "log.h"
 #include "slow_start.h"
 
 #include <atomic>
@@ -258,6 +259,13 @@
             state.gate.finish(activeRequest->request, actionStatus, answer);
             this->reportToSlowStart(state.slowStart, *activeRequest, isWhole, isRefusal);
         });
+        const bool isBroken =
+                result.isBroken && !activeRequest->isMismatched && !activeRequest->isCancelled;
+        if (isBroken)
+            logInfo("answer broke off or was invalid",
+                    { { "request", activeRequest->request.requestId },
+                      { "attempt", activeRequest->request.attempt },
+                      { "reason", result.error } });
         ServeEnd serveEnd{ .requestId = activeRequest->request.requestId,
                            .attempt = activeRequest->request.attempt,
                            .total = activeRequest->sentBytes };
@@ -265,6 +273,8 @@
         serveEnd.actionStatus = actionStatus;
         if (!isWhole)
             serveEnd.reason = isRefusal ? "upstream-refused" : "upstream-broken";
+        if (isBroken)
+            serveEnd.reason = kBrokenAnswer;
         if (activeRequest->isMismatched)
             serveEnd.reason = "answer-crossed";
         activeRequest->link->send(serveEnd);
--- a/src/upstream_proxy.h
+++ b/src/upstream_proxy.h
@@ -10,6 +10,9 @@
 
 namespace egret {
 
+/// `ServeEnd::reason` of a request whose response was cut off or invalid.
+inline constexpr const char *kBrokenAnswer = "answer-broken";
+
 struct UpstreamProxyOptions
 {
     std::string upstream; ///< IP address and port of the upstream
--- a/tests/faulty_server.h
+++ b/tests/faulty_server.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -73,6 +74,13 @@
     /// Number of requests whose heads have arrived.
     int requestCount() const { return this->requests; }
 
+    /// Changes the answer to further requests, except for the size of the receive buffer.
+    void setAnswer(FaultyAnswer newAnswer)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->answer = std::move(newAnswer);
+    }
+
 private:
     void run()
     {
@@ -81,11 +89,17 @@
             asio::ip::tcp::socket socket(this->context);
             this->acceptor.accept(socket, error);
             if (!error && !this->isStopping)
-                this->serve(socket);
+                this->serve(socket, this->currentAnswer());
         }
     }
 
-    void serve(asio::ip::tcp::socket &socket)
+    FaultyAnswer currentAnswer()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->answer;
+    }
+
+    void serve(asio::ip::tcp::socket &socket, const FaultyAnswer &currentAnswer)
     {
         static constexpr std::string_view lengthField = "Content-Length: ";
         std::string request;
@@ -96,38 +110,38 @@
             return;
         ++this->requests;
         const auto length = request.find(lengthField);
-        if (this->answer.readsRequest && length != std::string::npos) {
+        if (currentAnswer.readsRequest && length != std::string::npos) {
             const std::size_t size =
                     headBytes + std::stoul(request.substr(length + lengthField.size()));
             if (size > request.size())
                 asio::read(socket, asio::dynamic_buffer(request),
                            asio::transfer_exactly(size - request.size()), error);
         }
-        asio::write(socket, asio::buffer(this->answer.bytes), error);
-        std::this_thread::sleep_for(this->answer.pause);
-        if (!this->answer.lateBytes.empty()) {
-            asio::write(socket, asio::buffer(this->answer.lateBytes), error);
-            std::this_thread::sleep_for(this->answer.pause);
+        asio::write(socket, asio::buffer(currentAnswer.bytes), error);
+        std::this_thread::sleep_for(currentAnswer.pause);
+        if (!currentAnswer.lateBytes.empty()) {
+            asio::write(socket, asio::buffer(currentAnswer.lateBytes), error);
+            std::this_thread::sleep_for(currentAnswer.pause);
         }
-        this->end(socket);
+        endConnection(socket, currentAnswer.end);
     }
 
-    void end(asio::ip::tcp::socket &socket) const
+    static void endConnection(asio::ip::tcp::socket &socket, AnswerEnd end)
     {
         std::error_code error;
-        if (this->answer.end == AnswerEnd::reset)
+        if (end == AnswerEnd::reset)
             socket.set_option(asio::socket_base::linger(true, 0), error);
-        else if (this->answer.end != AnswerEnd::open)
+        else if (end != AnswerEnd::open)
             socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
         std::array<char, 4096> discarded{};
-        const bool readsOn =
-                this->answer.end == AnswerEnd::orderly || this->answer.end == AnswerEnd::open;
+        const bool readsOn = end == AnswerEnd::orderly || end == AnswerEnd::open;
         while (readsOn && !error)
             socket.read_some(asio::buffer(discarded), error);
         socket.close(error);
     }
 
-    FaultyAnswer answer;
+    std::mutex mutex;
+    FaultyAnswer answer; ///< guarded by `mutex`
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor;
     std::thread thread;
