Bound the memory of all heads of answers together

What callers would see (reported by another operator of such a system): a faulty engine sends bytes without end, in a head or in a body; the machine that called it keeps them all and runs out of memory, and the requests of its other clients end with it. It could happen here.

Cause: the limits on a head (64 KiB) and on a body held for one call only. Heads were kept twice, by the pool and by the exchange, and fields of one byte take 16 times their size on the wire; neither was counted for the process. The limit on all bodies (32 MiB) did not know how much memory the machine has.

Change: HttpPool counts the heads that are being received and ends the call with the largest one when they take more than 5% of the machine's memory together (2 to 8 MiB). A complete head is moved to the caller. The gateway counts it with the answer's body, within 20% of the machine's memory (4 to 32 MiB; before, 32 MiB on any machine), and releases it when it has been passed on. An attempt that is ended for this may have run, as after any broken answer.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -160,6 +160,7 @@
     SpeedAnswer speedAnswer;
     std::uint64_t chosenVersion{ 0 }; ///< weights version of the upstream at the time of the choice
     HttpHead head;                    ///< status and headers of the upstream's answer
+    std::size_t headBytes{ 0 };       ///< memory allocated for `head`
     AnswerMetadata answer;            ///< parsed from `head`
     std::string body;                 ///< body of an answer that is not streamed
     bool isStreamed{ false };         ///< the answer is forwarded to the client as it arrives
@@ -292,7 +293,8 @@
                          .startedAt = bootNow() }),
           pieceRelay({ .bytesPerMs = settings.linkMbps * kBytesPerMegabit / kMillisecondsPerSecond
                                      * kPieceRelayLinkShare }),
-          upstreamCalls(this->pool.context()),
+          upstreamCalls(this->pool.context(),
+                        { .maxHeadBytes = answerLimits(settings.memoryMb).maxHeadBytes }),
           frontend(this->pool.context(), frontendOptions(settings),
                    [this](HttpRequest &&request, const AbortableReplyPtr &reply) {
                        this->handle(std::move(request), reply);
@@ -1149,12 +1151,9 @@
         exchange->upstream = selection.upstream;
         exchange->sentAt = now;
         exchange->chosenVersion = exchange->service->engine ? selection.version : 0;
-        exchange->head = {};
         exchange->answer = {};
-        exchange->body = {};
         exchange->isStreamed = false;
-        exchange->events.begin();
-        this->answerBuffers.set(exchange, 0);
+        this->clearAnswer(exchange);
         exchange->lifecycle.onSend(selection.upstream);
         this->beginSpeedAnswer(*exchange, selection);
         if (selection.slowStartRemaining > 0ms)
@@ -1187,14 +1186,14 @@
             .onHead =
                     [this, exchange, isCurrentAttempt, answer, sentAt = now,
                      upstream = selection.upstream,
-                     startedAtMs = selection.startedAtMs](const HttpHead &head) {
+                     startedAtMs = selection.startedAtMs](HttpHead &&head) {
                         this->learn({ .upstream = upstream,
                                       .startedAtMs = startedAtMs,
                                       .request = exchange->metadata.id,
                                       .sentAt = sentAt },
                                     head.status, *answer);
                         if (isCurrentAttempt())
-                            this->onHead(exchange, head, *answer);
+                            this->onHead(exchange, std::move(head), *answer);
                     },
             .onBody =
                     [this, exchange, isCurrentAttempt](std::string &&part) {
@@ -1238,10 +1237,12 @@
 
     // Answers.
 
-    void onHead(const ExchangePtr &exchange, const HttpHead &head, const AnswerMetadata &answer)
+    void onHead(const ExchangePtr &exchange, HttpHead &&newHead, const AnswerMetadata &answer)
     {
-        exchange->head = head;
+        exchange->head = std::move(newHead);
         exchange->answer = answer;
+        exchange->headBytes = allocatedBytes(exchange->head.headers);
+        const HttpHead &head = exchange->head;
         const bool isUsable = isSuccess(head.status) && exchange->answer.hasServerStamp
                               && !exchange->answer.isEncoded;
         const bool isOtherVersion = exchange->lifecycle.hasForwarded()
@@ -1255,7 +1256,8 @@
                                && !isOtherVersion && !isOtherType;
         // A broken stream can be continued only by a stream from the same weights version.
         if (exchange->lifecycle.hasForwarded() && isSuccess(head.status) && !exchange->isStreamed)
-            this->breakOffAttempt(exchange, isOtherVersion ? "other-weights" : "no-stream");
+            return this->breakOffAttempt(exchange, isOtherVersion ? "other-weights" : "no-stream");
+        this->limitAnswers(exchange);
     }
 
     /// Records that an answer is thrown away although its connection is sound.
@@ -1358,11 +1360,7 @@
             events = exchange->events.append(part);
         else
             exchange->body += part;
-        const auto excessive = this->answerBuffers.set(
-                exchange, exchange->body.size() + exchange->events.partialBytes());
-        if (excessive)
-            this->dropAnswer(*excessive);
-        if (excessive == exchange)
+        if (!this->limitAnswers(exchange))
             return;
         if (!events.empty())
             this->forwardEvents(exchange, events);
@@ -1370,6 +1368,18 @@
             this->breakOffAttempt(exchange, "stream-fault");
     }
 
+    /// Counts what the exchange holds of an answer. Ends the attempt that holds the most when all
+    /// hold too much; returns false if it is the one of `exchange`.
+    bool limitAnswers(const ExchangePtr &exchange)
+    {
+        const auto excessive =
+                this->answerBuffers.set(exchange, exchange->headBytes + exchange->body.size()
+                                                          + exchange->events.partialBytes());
+        if (excessive)
+            this->dropAnswer(*excessive);
+        return excessive != exchange;
+    }
+
     void forwardEvents(const ExchangePtr &exchange, const std::string &events)
     {
         if (!exchange->lifecycle.hasResponseBegun()) {
@@ -1394,6 +1404,16 @@
         this->reportBegun(this->quarantine.onBegun(this->trackedSuspects(exchange), bootNow()));
     }
 
+    /// Releases what the exchange holds of an answer.
+    void clearAnswer(const ExchangePtr &exchange)
+    {
+        exchange->head = {};
+        exchange->headBytes = 0;
+        exchange->body = {};
+        exchange->events.begin();
+        this->answerBuffers.set(exchange, 0);
+    }
+
     /// Ends an attempt whose answer takes too much memory.
     void dropAnswer(const ExchangePtr &exchange)
     {
@@ -1402,7 +1422,7 @@
         logWarn("answer is too large", { { "request", exchange->metadata.id },
                                          { "upstream", exchange->upstream },
                                          { "bufferedBytes", this->answerBuffers.total() } });
-        this->answerBuffers.set(exchange, 0);
+        this->clearAnswer(exchange);
         this->upstreamCalls.cancel(std::exchange(exchange->callId, 0));
         this->selector.onEnded(exchange->upstream, true, now);
         this->applyDecision(exchange, exchange->lifecycle.onAttemptBroken("answer-too-large", now));
@@ -1419,6 +1439,8 @@
         exchange.answerType = mediaTypeOf(exchange.head);
         exchange.firstByteAt = bootNow();
         exchange.reply->start(exchange.head.status, "", forwardedHeaders(exchange.head));
+        exchange.head.headers = {};
+        exchange.headBytes = 0;
     }
 
     static HttpHeaders forwardedHeaders(const HttpHead &head)
@@ -1718,7 +1740,9 @@
     std::uint64_t quarantineNumber{ 0 }; ///< number of the quarantine text in force
     std::map<std::string, VersionDeadlines> versionDeadlines; ///< by model
     std::set<ExchangePtr> exchanges;
-    BufferBudget<ExchangePtr> answerBuffers; ///< answers and events that aren't complete yet
+    /// Answers and events that aren't complete yet, with their heads.
+    BufferBudget<ExchangePtr> answerBuffers{ BufferBudgetOptions{
+            .maxBytesTotal = answerLimits(this->settings.memoryMb).maxBytes } };
     std::map<std::uint64_t, PermitWait> permitWaits; ///< by id of the permit request
     std::uint64_t lastPermitId{ 0 };
     std::mt19937_64 randomGenerator{ randomSeed() };
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -1,5 +1,6 @@
 #include "http_pool.h"
 
+#include "buffer_budget.h"
 #include "clock.h"
 
 #include <asio/ip/tcp.hpp>
@@ -50,12 +51,18 @@
 class PooledConnection;
 using PooledConnectionPtr = std::shared_ptr<PooledConnection>;
 
-/// Callbacks and counters that the pool shares with its connections.
+/// Callbacks, counters and the budget of memory that the pool shares with its connections.
 struct PoolState
 {
+    explicit PoolState(const HttpPoolOptions &options)
+        : headBuffers(
+                { .maxBytesEach = options.maxHeadBytes, .maxBytesTotal = options.maxHeadBytes })
+    {}
+
     std::function<void(const PooledConnectionPtr &)> onIdle;
     std::function<void(const PooledConnectionPtr &)> onClosed;
     HttpPoolCounters counters;
+    BufferBudget<PooledConnection *> headBuffers;
 };
 
 /// One connection to a server with at most one call at a time.
@@ -143,6 +150,7 @@
         std::error_code ignored;
         this->socket.close(ignored);
         this->call = {};
+        this->releaseHead();
         this->poolState.onClosed(this->shared_from_this());
     }
 
@@ -227,8 +235,32 @@
         this->receivedBytes += size;
         if (this->receivedBytes > this->call.maxResponseBytes)
             return this->fail(CallOutcome::malformed, "response-too-large");
-        if (this->processInput(std::string_view(this->input.data(), size)))
-            this->read();
+        if (!this->processInput(std::string_view(this->input.data(), size)))
+            return;
+        this->limitHeads();
+        this->read();
+    }
+
+    /// Counts the memory of the head that is being received. Ends the call with the largest head,
+    /// which may be this one, when all heads together take too much.
+    void limitHeads()
+    {
+        const std::size_t bytes = this->reader.headCapacity();
+        if (bytes == 0 && this->countedHeadBytes == 0)
+            return;
+        this->countedHeadBytes = bytes;
+        if (const auto excessive = this->poolState.headBuffers.set(this, bytes)) {
+            const auto connection = (*excessive)->shared_from_this();
+            connection->fail(CallOutcome::malformed, "heads-too-large-together");
+        }
+    }
+
+    /// Releases the memory of a head that is being received.
+    void releaseHead()
+    {
+        this->reader.reset();
+        if (std::exchange(this->countedHeadBytes, 0) > 0)
+            this->poolState.headBuffers.set(this, 0);
     }
 
     /// Tells an orderly close, for which a read returns the end of the input, from an error that
@@ -262,7 +294,7 @@
             // Skip the late response to another request: the expected response may follow.
             ++this->poolState.counters.skipped;
             this->hasSkippedResponse = true;
-            if (this->reachedEof || !this->reader.head().keepsAlive) {
+            if (this->reachedEof || !this->keepsAlive) {
                 this->fail(CallOutcome::broken, "response to another request");
                 return false;
             }
@@ -288,9 +320,12 @@
                 return false;
             }
             this->isMismatched = match == ResponseMatch::other;
-            if (!this->isMismatched && this->call.onHead) {
-                const auto callback = this->call.onHead;
-                callback(this->reader.head());
+            this->keepsAlive = this->reader.head().keepsAlive;
+            this->idleTimeLimit = reuseTimeLimit(this->reader.head().headers);
+            if (!this->isMismatched) {
+                HttpHead head = this->reader.takeHead();
+                if (const auto callback = this->call.onHead)
+                    callback(std::move(head));
             }
         }
         if (this->isClosed || this->callId != callIdBefore)
@@ -310,12 +345,11 @@
     bool finish(bool hasSurplus)
     {
         const auto onEnd = std::move(this->call.onEnd);
-        const bool canReuse = this->call.keepsConnection && this->reader.head().keepsAlive
-                              && this->requestWritten && !hasSurplus && !this->reachedEof
-                              && !this->hasSkippedResponse;
+        const bool canReuse = this->call.keepsConnection && this->keepsAlive && this->requestWritten
+                              && !hasSurplus && !this->reachedEof && !this->hasSkippedResponse;
         if (hasSurplus)
             ++this->poolState.counters.surplus;
-        this->idleTimeLimit = reuseTimeLimit(this->reader.head().headers);
+        this->releaseHead();
         this->call = {};
         this->callId = 0;
         this->hasCall = false;
@@ -360,7 +394,9 @@
     bool requestWritten{ false };
     std::error_code writeError; ///< of the request of the current call
     bool headDelivered{ false };
-    bool isMismatched{ false }; ///< the current response belongs to another request
+    bool keepsAlive{ false }; ///< the head of the current response lets the connection be reused
+    std::size_t countedHeadBytes{ 0 }; ///< counted in `PoolState::headBuffers`
+    bool isMismatched{ false };        ///< the current response belongs to another request
     bool hasSkippedResponse{ false };
     bool reachedEof{ false };
     bool wasReset{ false };
@@ -377,7 +413,8 @@
 class HttpPool::Impl : public std::enable_shared_from_this<HttpPool::Impl>
 {
 public:
-    explicit Impl(asio::io_context &context) : context(context), timer(context)
+    Impl(asio::io_context &context, const HttpPoolOptions &options)
+        : poolState(options), context(context), timer(context)
     {
         this->poolState.onIdle = [](const PooledConnectionPtr &) {};
         this->poolState.onClosed = [this](const PooledConnectionPtr &connection) {
@@ -500,7 +537,8 @@
     std::uint64_t lastCallId{ 0 };
 };
 
-HttpPool::HttpPool(asio::io_context &context) : impl(std::make_shared<Impl>(context))
+HttpPool::HttpPool(asio::io_context &context, HttpPoolOptions options)
+    : impl(std::make_shared<Impl>(context, options))
 {
     this->impl->scheduleDeadlineCheck();
 }
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -71,11 +71,18 @@
     bool keepsConnection{ true };
     /// Tells to which request a response belongs. When empty, every response is the own one.
     std::function<ResponseMatch(const HttpHead &)> matchResponse;
-    std::function<void(const HttpHead &)> onHead;
+    std::function<void(HttpHead &&)> onHead;
     std::function<void(std::string &&)> onBody; ///< called with each part of the body
     std::function<void(const CallEnd &)> onEnd; ///< called once unless the call is cancelled
 };
 
+struct HttpPoolOptions
+{
+    /// Limit on the memory of all heads that are being received, including those of late responses
+    /// to other requests. Beyond it, the call with the largest one ends as `malformed`.
+    std::size_t maxHeadBytes{ 8U << 20U };
+};
+
 struct HttpPoolCounters
 {
     std::uint64_t opened{ 0 };  ///< new connections, including those that failed
@@ -95,7 +102,7 @@
 {
 public:
     /// Precondition: `context` is run by one thread, on which all calls are made.
-    explicit HttpPool(asio::io_context &context);
+    explicit HttpPool(asio::io_context &context, HttpPoolOptions options = {});
     ~HttpPool();
     HttpPool(const HttpPool &) = delete;
     HttpPool &operator=(const HttpPool &) = delete;
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -87,6 +87,14 @@
     return false;
 }
 
+std::size_t allocatedBytes(const HttpHeaders &headers)
+{
+    std::size_t bytes = headers.capacity() * sizeof(HttpHeaders::value_type);
+    for (const auto &[name, value] : headers)
+        bytes += allocatedBytes(name) + allocatedBytes(value);
+    return bytes;
+}
+
 HttpReader::HttpReader(HttpReaderOptions options) : options(options), scanner(options.kind)
 {
     this->reset();
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -79,7 +79,7 @@
     const char *faultReason() const;
     const HttpHead &head() const { return this->currentHead; }
     /// Moves the head out of the reader, which holds an empty one until the next `reset`.
-    /// Precondition: the message is complete.
+    /// Precondition: `hasHead`.
     HttpHead takeHead();
     /// Bytes that are allocated for the head. Short headers take far more than they have on the
     /// wire.
@@ -136,6 +136,9 @@
 /// `connection`, the value of the message's Connection header, lists `name`. Thread safe.
 bool isHopByHopHeader(const std::string &name, const std::string &connection);
 
+/// Bytes that are allocated for the headers. Thread safe.
+std::size_t allocatedBytes(const HttpHeaders &headers);
+
 /// True when two header names are equal; ignores case. Thread safe.
 bool isSameHeaderName(std::string_view left, std::string_view right);
 
--- a/src/request_memory.cpp
+++ b/src/request_memory.cpp
@@ -14,6 +14,14 @@
 constexpr double kClientShare = 0.4;
 constexpr double kBytesPerMegabyte = 1e6;
 constexpr std::size_t kMinBytes = 4U << 20U;
+/// Shares for answers that aren't complete yet and for heads of answers. Buffers of bodies may have
+/// allocated twice what is counted.
+constexpr double kAnswerShare = 0.2;
+constexpr double kAnswerHeadShare = 0.05;
+constexpr std::size_t kMaxAnswerBytes = 32U << 20U;
+constexpr std::size_t kMaxAnswerHeadBytes = 8U << 20U;
+/// The largest head, with fields of one byte, takes as much as this.
+constexpr std::size_t kMinAnswerHeadBytes = 2U << 20U;
 /// Share of the descriptors that clients' connections may take, after those that every process
 /// needs for itself. Each client of a gateway may need a second one, for the upstream.
 constexpr double kConnectionShare = 0.5;
@@ -39,6 +47,20 @@
     return limits;
 }
 
+AnswerLimits answerLimits(double memoryMb)
+{
+    AnswerLimits limits{ .maxBytes = kMaxAnswerBytes, .maxHeadBytes = kMaxAnswerHeadBytes };
+    if (memoryMb > 0) {
+        const auto share = [memoryMb](double part) {
+            return static_cast<std::size_t>(memoryMb * kBytesPerMegabyte * part);
+        };
+        limits.maxBytes = std::clamp(share(kAnswerShare), kMinBytes, kMaxAnswerBytes);
+        limits.maxHeadBytes =
+                std::clamp(share(kAnswerHeadShare), kMinAnswerHeadBytes, kMaxAnswerHeadBytes);
+    }
+    return limits;
+}
+
 std::size_t RequestMemory::charge(const Holder &holder)
 {
     return std::max(holder.bytes, holder.reservation);
--- a/src/request_memory.h
+++ b/src/request_memory.h
@@ -30,6 +30,17 @@
     Milliseconds maxWait{ 2s };
 };
 
+/// Limits on answers of upstreams, derived from the machine's memory.
+struct AnswerLimits
+{
+    std::size_t maxBytes{ 0 };     ///< answers that aren't complete yet, with their heads
+    std::size_t maxHeadBytes{ 0 }; ///< heads that aren't complete yet, see `HttpPoolOptions`
+};
+
+/// Returns the limits for a machine with `memoryMb` megabytes of memory. 0: unknown; the limits are
+/// then 32 MiB and 8 MiB. Thread safe.
+AnswerLimits answerLimits(double memoryMb);
+
 /// Limits on clients, derived from the machine's limits.
 struct ClientLimits
 {
--- a/src/stager.cpp
+++ b/src/stager.cpp
@@ -9,6 +9,7 @@
 #include "node_options.h"
 #include "program.h"
 #include "registry_node.h"
+#include "request_memory.h"
 #include "slow_start_permits.h"
 #include "swarm.h"
 #include "view_reader.h"
@@ -113,8 +114,9 @@
           viewReader(settings, false, this->hub,
                      { .stateChanged = [this] { this->onOperatorState(); },
                        .upstreamChanged = [](const UpstreamRecord &) {} }),
-          httpCalls(this->pool.context()), uploadTimer(this->pool.context()),
-          staging({ .rolloutLimit = settings.bounds.version })
+          httpCalls(this->pool.context(),
+                    { .maxHeadBytes = answerLimits(settings.memoryMb).maxHeadBytes }),
+          uploadTimer(this->pool.context()), staging({ .rolloutLimit = settings.bounds.version })
     {}
 
     bool start(std::string &problem)
