Bound what all calls of an HttpClient buffer together

Change: HttpClient counts the headers and the bodies that its calls buffer; the call that buffers the most ends incomplete when they exceed 128 MiB together. It may have run, as any incomplete call.

Evidence: HttpClient.ResponsesTogetherKeepToTheBufferLimit: 8 calls of 512 KiB that don't end, with a limit of 1 MiB; without the limit all 4 MiB are buffered. A stager is bounded already by 10 connections and 2 MB a call: EndlessEngine. Not bounded for the process: bodies that an agent keeps for protected actions (64 MiB each) and that an entry instance buffers (8 MiB each).

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,7 +1,9 @@
 #include "http_client.h"
 
+#include "buffer_budget.h"
 #include "http_body.h"
 #include "http_head_scanner.h"
+#include "http_reader.h"
 
 #include <curl/curl.h>
 
@@ -23,11 +25,43 @@
 constexpr long kMaxIdleConnections = 64;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
 constexpr int kFirstFinalStatus = 200;
+constexpr const char *kTooMuchBuffered = "too-large-together";
+
+/// Memory that calls buffer; used only on the client's thread.
+struct Buffers
+{
+    explicit Buffers(std::size_t maxBytes)
+        : budget({ .maxBytesEach = maxBytes, .maxBytesTotal = maxBytes })
+    {}
+
+    /// Sets what a call buffers. Returns false when this call must end because it buffers the most
+    /// and all together buffer too much.
+    bool set(std::uint64_t callId, std::size_t bytes)
+    {
+        const auto excessive = this->budget.set(callId, bytes);
+        if (!excessive)
+            return true;
+        this->budget.set(*excessive, 0);
+        if (*excessive != callId)
+            this->excessiveCalls.push_back(*excessive);
+        return *excessive != callId;
+    }
+
+    BufferBudget<std::uint64_t> budget;
+    /// Calls to end. libcurl doesn't let a callback of one transfer end another one.
+    std::vector<std::uint64_t> excessiveCalls;
+};
 
 /// One call in progress; used only on the client's thread.
 struct Transfer
 {
+    Transfer(HttpCall &&call, std::uint64_t callId, Buffers &buffers)
+        : call(std::move(call)), callId(callId), buffers(buffers)
+    {}
+
     HttpCall call;
+    const std::uint64_t callId;
+    Buffers &buffers;
     HttpResult result;
     CURL *curlEasy{ nullptr };
     curl_slist *headers{ nullptr };
@@ -40,6 +74,7 @@
 
     ~Transfer()
     {
+        this->buffers.set(this->callId, 0);
         curl_slist_free_all(this->headers);
         curl_easy_cleanup(this->curlEasy);
     }
@@ -64,6 +99,15 @@
             this->fault = httpDefectName(HttpDefect::framing);
         else if (isField)
             this->addHeader(line);
+        return this->fault.empty() && this->countBuffers();
+    }
+
+    /// Counts what this call buffers. Returns false, and sets the fault, when that is too much.
+    bool countBuffers()
+    {
+        if (!this->buffers.set(this->callId,
+                               allocatedBytes(this->result.headers) + this->result.body.size()))
+            this->fault = kTooMuchBuffered;
         return this->fault.empty();
     }
 
@@ -123,7 +167,7 @@
         transfer->call.onData(std::string(data, size * count));
     else
         transfer->result.body.append(data, size * count);
-    return size * count;
+    return transfer->countBuffers() ? size * count : 0;
 }
 
 std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
@@ -142,7 +186,7 @@
 class HttpClient::Impl
 {
 public:
-    Impl()
+    explicit Impl(const HttpClientOptions &options) : buffers(options.maxBufferedBytes)
     {
         static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
         (void)initialised;
@@ -189,6 +233,8 @@
             int running = 0;
             curl_multi_perform(this->curlMulti, &running);
             this->processResults();
+            for (const std::uint64_t callId : std::exchange(this->buffers.excessiveCalls, {}))
+                this->endTransfer(callId, CURLE_WRITE_ERROR, kTooMuchBuffered);
             curl_multi_poll(this->curlMulti, nullptr, 0, static_cast<int>(kPollTimeout.count()),
                             nullptr);
         }
@@ -214,8 +260,7 @@
 
     void beginTransfer(std::uint64_t callId, HttpCall call)
     {
-        auto transfer = std::make_unique<Transfer>();
-        transfer->call = std::move(call);
+        auto transfer = std::make_unique<Transfer>(std::move(call), callId, this->buffers);
         transfer->curlEasy = curl_easy_init();
         CURL *curlEasy = transfer->curlEasy;
         const HttpCall &options = transfer->call;
@@ -299,11 +344,12 @@
     std::mutex mutex;
     std::deque<std::pair<std::uint64_t, HttpCall>> pendingStarts;
     std::deque<std::uint64_t> pendingCancels;
+    Buffers buffers;
     std::map<std::uint64_t, std::unique_ptr<Transfer>> transfers;
     std::thread thread;
 };
 
-HttpClient::HttpClient() : impl(std::make_unique<Impl>()) {}
+HttpClient::HttpClient(HttpClientOptions options) : impl(std::make_unique<Impl>(options)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -43,12 +43,19 @@
     std::function<void(HttpResult &&)> onDone;           ///< called exactly once
 };
 
+struct HttpClientOptions
+{
+    /// Limit on what all calls together buffer: headers, and bodies without `onData`. Beyond it,
+    /// the call that buffers the most ends incomplete.
+    std::size_t maxBufferedBytes{ 128U << 20U };
+};
+
 /// HTTP client that runs libcurl on a thread of its own. Callbacks run on this
 /// thread and must not block. Thread safe.
 class HttpClient
 {
 public:
-    HttpClient();
+    explicit HttpClient(HttpClientOptions options = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/tests/endless_upstream_test.cpp
+++ b/tests/endless_upstream_test.cpp
@@ -49,6 +49,13 @@
     };
 }
 
+std::vector<EndlessCase> casesNamed(const std::set<std::string> &names)
+{
+    std::vector<EndlessCase> cases = endlessCases();
+    std::erase_if(cases, [&names](const EndlessCase &each) { return !names.contains(each.name); });
+    return cases;
+}
+
 class EndlessUpstream : public DeploymentTest, public testing::WithParamInterface<EndlessCase>
 {
 protected:
@@ -116,3 +123,31 @@
 
 INSTANTIATE_TEST_SUITE_P(Answers, EndlessUpstream, testing::ValuesIn(endlessCases()),
                          [](const auto &info) { return info.param.name; });
+
+// A stager's calls to its engine are few, and each may receive 2 MB.
+class EndlessEngine : public DeploymentTest, public testing::WithParamInterface<EndlessCase>
+{
+};
+
+TEST_P(EndlessEngine, LeavesTheStagerRunning)
+{
+    constexpr ProcessBounds bounds{ .memoryMb = 48, .descriptors = 256 };
+    const EndlessServer engine(this->GetParam().answer);
+    this->startAll({}, 0);
+    this->stagers[0]->stop();
+    this->stagers.erase(this->stagers.begin());
+    NodeSettings settings = this->deployment->stagerSettings(0);
+    settings.engineAddress = engine.endpoint().text();
+    limit(settings, bounds);
+    ProgramProcess process("egret-stager", settings, this->folder);
+    ASSERT_TRUE(this->putDocument(0, 4, "key"));
+    ASSERT_TRUE(waitUntil(kStartTimeout, [&] { return engine.requestCount() >= 20; }));
+    std::cout << "measured: peak " << process.peakMemoryKb() << " kB of "
+              << bounds.memoryMb * kKbPerMb << "\n";
+    EXPECT_TRUE(process.isAlive());
+    EXPECT_LT(process.peakMemoryKb(), bounds.memoryMb * kKbPerMb);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, EndlessEngine,
+                         testing::ValuesIn(casesNamed({ "Fields", "Body" })),
+                         [](const auto &info) { return info.param.name; });
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "broken_responses.h"
+#include "endless_server.h"
 #include "faulty_server.h"
 
 #include <asio/ip/tcp.hpp>
@@ -9,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <future>
 #include <thread>
 #include <vector>
 
@@ -16,41 +18,14 @@
 
 namespace {
 
-/// A server that sends `begin` and then `rest` again and again until the client closes.
-class EndlessServer
-{
-public:
-    EndlessServer(std::string begin, std::string rest)
-        : acceptor(this->context, { asio::ip::make_address("127.0.0.1"), 0 }),
-          thread([this, begin = std::move(begin), rest = std::move(rest)] {
-              asio::ip::tcp::socket socket(this->context);
-              this->acceptor.accept(socket);
-              std::string request;
-              std::error_code error;
-              asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
-              asio::write(socket, asio::buffer(begin), error);
-              while (!error)
-                  asio::write(socket, asio::buffer(rest), error);
-          })
-    {}
-    ~EndlessServer() { this->thread.join(); }
-    EndlessServer(const EndlessServer &) = delete;
-    EndlessServer &operator=(const EndlessServer &) = delete;
-
-    std::string url() const
-    {
-        return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
-    }
-
-private:
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor;
-    std::thread thread;
-};
-
 /// An upload that the buffers of the sockets don't hold.
 constexpr std::size_t kLongUpload = 4U << 20U;
 
+std::string urlOf(const EndlessServer &server)
+{
+    return "http://" + server.endpoint().text() + "/";
+}
+
 HttpResult callFaulty(const FaultyServer &server, std::size_t uploadSize,
                       const std::string &method = "POST")
 {
@@ -82,22 +57,51 @@
     };
     HttpClient client;
     for (const auto &[begin, rest, fault] : responses) {
-        const EndlessServer server(begin, rest);
+        const EndlessServer server({ .begin = begin, .part = rest });
         const HttpResult result = client.callAndWait(
-                { .url = server.url(), .timeout = 5s, .maxBodyBytes = 16U << 10U });
+                { .url = urlOf(server), .timeout = 5s, .maxBodyBytes = 16U << 10U });
         EXPECT_FALSE(result.complete);
         EXPECT_EQ(result.error, fault);
         EXPECT_LE(result.body.size(), 16U << 10U);
     }
 }
 
+// Guards against a process that runs out of memory on many responses, each within its limit.
+TEST(HttpClient, ResponsesTogetherKeepToTheBufferLimit)
+{
+    constexpr std::size_t limit = 1U << 20U;
+    constexpr std::size_t callCount = 8;
+    const EndlessServer server({ .begin = "HTTP/1.1 200 OK\r\n\r\n",
+                                 .part = std::string(limit / 2, 'x'),
+                                 .maxParts = 1 });
+    HttpClient client({ .maxBufferedBytes = limit });
+    std::vector<std::future<HttpResult>> results;
+    for (std::size_t i = 0; i < callCount; ++i)
+        results.push_back(std::async(std::launch::async, [&] {
+            return client.callAndWait({ .url = urlOf(server), .timeout = 1s });
+        }));
+    std::size_t buffered = 0;
+    std::size_t ended = 0;
+    for (auto &each : results) {
+        const HttpResult result = each.get();
+        EXPECT_FALSE(result.complete);
+        if (result.error == "too-large-together")
+            ++ended;
+        else
+            buffered += result.body.size();
+    }
+    EXPECT_LE(buffered, limit);
+    EXPECT_GE(ended, callCount - 2);
+}
+
 TEST(HttpClient, BodyLimitHoldsForPartsAsWell)
 {
-    const EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x'));
+    const EndlessServer server(
+            { .begin = "HTTP/1.1 200 OK\r\n\r\n", .part = std::string(4096, 'x') });
     std::size_t received = 0;
     HttpClient client;
     const HttpResult result = client.callAndWait(
-            { .url = server.url(),
+            { .url = urlOf(server),
               .timeout = 5s,
               .maxBodyBytes = 16U << 10U,
               .onData = [&received](const std::string &part) { received += part.size(); } });
