Handle the end of a response behind a failed write

Cause: asio writes a long upload in parts of 64 KB. While the handler of one part waits in the queue, the reset arrives and makes the socket's event ready behind it. The handler starts the next part, which takes the reset's error, and whose own handler goes to the end of the queue; the event is next, its read returns the end of the input, and HttpPool decided before it knew the error.

Change: the end of the input is posted behind the handlers that are ready, so that a write that has failed is known by then. A write that is still in flight afterwards has not failed: the close was orderly.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -224,14 +224,10 @@
                 ++this->poolState.counters.surplus;
             return this->close();
         }
-        const std::error_code end = error == asio::error::eof ? this->endOfInput() : error;
-        if (end == asio::error::eof) {
-            this->reader.finish();
-            this->reachedEof = true;
-        } else if (end) {
-            this->wasReset = end == asio::error::connection_reset;
-            return this->fail(CallOutcome::broken, end.message());
-        }
+        if (error == asio::error::eof)
+            return this->deferEndOfInput();
+        if (error)
+            return this->failOn(error);
         this->receivedBytes += size;
         if (this->receivedBytes > this->call.maxResponseBytes)
             return this->fail(CallOutcome::malformed, "response-too-large");
@@ -263,14 +259,35 @@
             this->poolState.headBuffers.set(this, 0);
     }
 
+    /// Handles the end of the input behind the handlers that are ready: a write of the request that
+    /// has failed may be among them, and its error decides what the end means.
+    void deferEndOfInput()
+    {
+        asio::post(this->socket.get_executor(),
+                   [self = this->shared_from_this(), callId = this->callId] {
+                       if (!self->isClosed && self->callId == callId)
+                           self->onEndOfInput();
+                   });
+    }
+
     /// Tells an orderly close, for which a read returns the end of the input, from an error that
     /// the write of the request has received: a socket reports an error only once, and reads then
     /// return the end of the input as well. After an orderly close by the server, a write fails
     /// with `broken_pipe` instead.
-    std::error_code endOfInput() const
+    void onEndOfInput()
+    {
+        if (this->writeError && this->writeError != asio::error::broken_pipe)
+            return this->failOn(this->writeError);
+        this->reader.finish();
+        this->reachedEof = true;
+        this->processInput({});
+    }
+
+    /// Ends the call because of an error of the socket.
+    void failOn(const std::error_code &error)
     {
-        const bool isOrderly = !this->writeError || this->writeError == asio::error::broken_pipe;
-        return isOrderly ? asio::error::eof : this->writeError;
+        this->wasReset = error == asio::error::connection_reset;
+        this->fail(CallOutcome::broken, error.message());
     }
 
     /// Parses bytes of the response. Returns true when more bytes must be read.
--- a/tests/http_pool_test.cpp
+++ b/tests/http_pool_test.cpp
@@ -371,6 +371,33 @@
     }
 }
 
+// Guards against an end of the input that is handled before the failed write that explains it: on a
+// busy thread, the handler of the write may wait behind that of the read.
+TEST_F(HttpPoolTest, AResetOnABusyThreadNeverCompletesAResponse)
+{
+    constexpr int calls = 400;
+    std::atomic<bool> isStopping{ false };
+    std::atomic<int> stallMicroseconds{ 0 };
+    std::function<void()> stall = [&] {
+        std::this_thread::sleep_for(std::chrono::microseconds(stallMicroseconds));
+        if (!isStopping)
+            asio::post(this->pool.context(), stall);
+    };
+    asio::post(this->pool.context(), stall);
+    for (int i = 0; i < calls; ++i) {
+        stallMicroseconds = 100 * (1 + i % 10);
+        const FaultyServer faulty({ .bytes = "HTTP/1.1 200 OK\r\n\r\na part",
+                                    .pause = Milliseconds(1 + i / 10 % 2),
+                                    .end = AnswerEnd::reset });
+        const CallRecord record =
+                this->call({ .to = faulty.endpoint(), .body = std::string(kLongUpload, 'u') });
+        EXPECT_EQ(record.end.outcome, CallOutcome::broken)
+                << "stalls of " << stallMicroseconds << " us, pause " << 1 + i / 10 % 2;
+    }
+    isStopping = true;
+    this->pool.run([] {}); // the last stall has ended
+}
+
 // Guards against rejecting whole responses together with cut ones.
 TEST_F(HttpPoolTest, AnOrderlyCloseCompletesAResponseBeforeAndAfterTheUpload)
 {
